--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -102,6 +102,41 @@
         value.parse()
     }
 }
+#[doc = "Bounds on a gateway; those on upstreams are sums over all hosts."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default)]
+#[serde(deny_unknown_fields)]
+pub struct Gateway {
+    #[doc = "The multiple of its rate that a cold upstream bears."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub cold_overage: ::std::option::Option<f64>,
+    #[doc = "Starts a second that a cold upstream bears beyond that."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub cold_slack: ::std::option::Option<f64>,
+    #[doc = "The least time between two messages to other hosts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub gossip_pause_ms: ::std::option::Option<u64>,
+    #[doc = "The port for datagrams between hosts, the same at all of them."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub gossip_port: ::std::option::Option<::std::num::NonZeroU16>,
+    #[doc = "The time from the signal to leave until the process is killed."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub grace_ms: ::std::option::Option<u64>,
+    #[doc = "The path at which the balancer asks whether the host is ready."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub ready_path: ::std::option::Option<::std::string::String>,
+    #[doc = "Retries for each request to a service, over all hosts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_ratio: ::std::option::Option<f64>,
+    #[doc = "Retries beyond these in each window, over all hosts."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_slack: ::std::option::Option<f64>,
+    #[doc = "The window in which retries are counted."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_window_ms: ::std::option::Option<u64>,
+    #[doc = "How long after a key was taken away it may still be used."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub revocation_ms: ::std::option::Option<u64>,
+}
 #[doc = "Who a host is and where it listens."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
@@ -342,6 +377,8 @@
     pub caller: ::std::option::Option<Caller>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub drain: ::std::option::Option<Drain>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub gateway: ::std::option::Option<Gateway>,
     pub host: Host,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub log: ::std::option::Option<Log>,
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,34 @@
+//! The stage that serves callers by a published route table.
+//!
+//! An adapter decodes what a platform publishes into the types of [`table`] and
+//! [`upstream`], and names the headers in [`names`]. Everything else is decided
+//! here: which host reads the store ([`reader`]), what other hosts know
+//! ([`gossip`], [`peers`]), which upstream runs a request ([`place`]), how often
+//! it is tried ([`forward`]) and when a host may vouch for what it knows.
+
+pub mod budget;
+pub mod cold;
+pub mod connection;
+pub mod event;
+pub mod forward;
+pub mod gossip;
+pub mod health;
+pub mod job;
+pub mod listen;
+pub mod load;
+pub mod measure;
+pub mod names;
+pub mod operator;
+pub mod peers;
+pub mod place;
+pub mod reader;
+pub mod refusal;
+pub mod serve;
+pub mod source;
+pub mod state;
+pub mod stream;
+pub mod table;
+pub mod upstream;
+pub mod view;
+
+pub use state::State;
--- /dev/null
+++ b/src/gateway/gossip.rs
@@ -0,0 +1,210 @@
+//! What hosts tell each other by datagrams: that they live, what runs at
+//! upstreams, which upstreams they lost, which requests crash them.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tracing::info;
+use tracing::warn;
+
+use crate::boot;
+use crate::gateway::peers;
+use crate::gateway::peers::Contact;
+use crate::gateway::state::State;
+use crate::ident;
+use crate::lock::lock;
+use crate::policy::strike::Strike;
+
+/// The version of the form of messages.
+const VERSION: u8 = 1;
+
+/// The longest message, in bytes: one that fits a datagram without fragments.
+const MESSAGE_BYTES: usize = 1_400;
+
+/// The most strikes in a message.
+const STRIKES: usize = 8;
+
+/// Messages that a host sends a second at most. Larger fleets speak more seldom.
+const MESSAGES_PER_SECOND: f64 = 60.0;
+
+/// Messages to other zones are this many times as seldom in a large fleet.
+const FAR_TURNS: u64 = 5;
+
+/// Hosts from which on other zones are told more seldom.
+const LARGE_FLEET: usize = 16;
+
+/// The least time between two messages for urgent news.
+const URGENT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A message to other hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    version: u8,
+    process: u64,
+    zone: ident::Zone,
+    is_leaving: bool,
+    revision: u64,
+    is_fresh: bool,
+    loads: Vec<(ident::Upstream, u32)>,
+    suspects: Vec<(ident::Upstream, u64)>,
+    strikes: Vec<Strike>,
+    contacts: Vec<Contact>,
+}
+
+/// Tells other hosts and listens to them until the process stops.
+pub async fn run(state: Arc<State>, socket: UdpSocket) {
+    let mut buffer = vec![0; 64 * 1024];
+    let mut next = Instant::now();
+    let mut turn = 0_u64;
+    loop {
+        tokio::select! {
+            () = state.stop.cancelled() => return,
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => {
+                    let bytes = buffer.get(..length).unwrap_or_default();
+                    hear(&state, from, bytes);
+                }
+                Err(error) => warn!(%error, "peers: can't receive"),
+            },
+            () = tokio::time::sleep_until(next) => {
+                let count = tell(&state, &socket, turn).await;
+                turn += 1;
+                next = Instant::now() + pause(&state, count);
+            }
+            () = state.urgent.notified() => {
+                next = next.min(Instant::now() + URGENT_PAUSE);
+            }
+        }
+    }
+}
+
+/// Returns the time to the next message, by how many hosts each goes to.
+fn pause(state: &State, hosts: usize) -> Duration {
+    let least = state.options.gateway.gossip_pause;
+    least.max(Duration::from_secs_f64(hosts as f64 / MESSAGES_PER_SECOND))
+}
+
+/// Tells all hosts of this zone, and those of other zones if it is their turn.
+async fn tell(state: &State, socket: &UdpSocket, turn: u64) -> usize {
+    let now = Instant::now();
+    lock(&state.loads).expire(now);
+    let targets = lock(&state.peers).targets(now);
+    let is_large = targets.len() >= LARGE_FLEET;
+    let own = &state.options.host.zone;
+    let near = |zone: &Option<ident::Zone>| zone.as_ref() == Some(own);
+    // Each host of another zone is told in a turn of its own.
+    let is_due = |index: usize, zone: &Option<ident::Zone>| {
+        near(zone) || !is_large || (index as u64 + turn).is_multiple_of(FAR_TURNS)
+    };
+    let due = targets.iter().enumerate();
+    let due = due.filter(|(index, (_, zone))| is_due(*index, zone));
+    let due: Vec<IpAddr> = due.map(|(_, (address, _))| IpAddr::V4(*address)).collect();
+    let Some(bytes) = message(state, now) else {
+        return due.len();
+    };
+    for address in &due {
+        let to = SocketAddr::new(*address, state.options.gateway.gossip_port);
+        // A full link or a host that is down loses the message, as on the way.
+        if let Err(error) = socket.send_to(&bytes, to).await
+            && error.kind() != io::ErrorKind::ConnectionRefused
+        {
+            warn!(%error, %to, "peers: can't send");
+        }
+    }
+    due.len()
+}
+
+fn message(state: &State, now: Instant) -> Option<Vec<u8>> {
+    let boot = boot::Instant::now();
+    let (revision, is_fresh) = {
+        let revision = lock(&state.mirror).revision();
+        (revision, state.vouches_for_keys(boot))
+    };
+    let contacts = lock(&state.peers).contacts(now);
+    let suspects = lock(&state.health).suspects(now);
+    let suspects = suspects.into_iter().map(|(upstream, left)| {
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        (upstream, left)
+    });
+    let loads = lock(&state.loads).counts().clone();
+    let mut strikes = lock(&state.strikes).strikes(now);
+    strikes.truncate(STRIKES);
+    let mut message = Message {
+        version: VERSION,
+        process: state.process,
+        zone: state.options.host.zone.clone(),
+        is_leaving: state.draining.is_cancelled(),
+        revision,
+        is_fresh,
+        loads: loads.into_iter().collect(),
+        suspects: suspects.collect(),
+        strikes,
+        contacts,
+    };
+    loop {
+        let bytes = match rmp_serde::to_vec(&message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                warn!(%error, "peers: message can't be encoded");
+                return None;
+            }
+        };
+        // Loads matter most; the rest comes again with the next message.
+        match bytes.len() <= MESSAGE_BYTES {
+            true => return Some(bytes),
+            false if message.contacts.pop().is_some() => {}
+            false if message.strikes.pop().is_some() => {}
+            false if message.loads.pop().is_some() => {}
+            false => return Some(bytes),
+        }
+    }
+}
+
+fn hear(state: &State, from: SocketAddr, bytes: &[u8]) {
+    let IpAddr::V4(address) = from.ip() else {
+        return;
+    };
+    let message: Message = match rmp_serde::from_slice(bytes) {
+        Ok(message) => message,
+        Err(error) => return warn!(%error, %from, "peers: message can't be read"),
+    };
+    if message.process == state.process || message.version != VERSION {
+        return;
+    }
+    let now = Instant::now();
+    let word = peers::Word {
+        zone: message.zone,
+        process: message.process,
+        is_leaving: message.is_leaving,
+        revision: message.revision,
+        is_fresh: message.is_fresh,
+    };
+    {
+        let mut peers = lock(&state.peers);
+        if peers.hear(now, address, word) {
+            info!(%address, process = message.process, "peers: heard a new host");
+        }
+        for contact in &message.contacts {
+            peers.learn(now, contact);
+        }
+    }
+    {
+        let mut health = lock(&state.health);
+        for (upstream, left) in &message.suspects {
+            health.merge(now, upstream, Duration::from_millis(*left));
+        }
+    }
+    let loads = message.loads.into_iter().collect();
+    lock(&state.loads).tell(now, message.process, loads);
+    let mut strikes = lock(&state.strikes);
+    for strike in &message.strikes {
+        strikes.merge(now, strike);
+    }
+}
--- /dev/null
+++ b/src/gateway/operator.rs
@@ -0,0 +1,147 @@
+//! The listeners for the balancer, for operators and for followers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+use tracing::warn;
+
+use crate::boot;
+use crate::gateway::connection::harden;
+use crate::gateway::measure::Knowledge;
+use crate::gateway::state::State;
+use crate::lock::lock;
+use crate::mirror::wire;
+use crate::mirror::wire::Content;
+
+/// The longest question of a follower, in bytes.
+const ASK_BYTES: usize = 1_024;
+
+/// The longest that a follower is kept waiting for a change.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+/// The pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers the balancer, operators and followers until the process stops.
+pub async fn run(state: Arc<State>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            () = state.stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                if let Err(error) = harden(&stream) {
+                    warn!(%error, "operators: connection without probes");
+                }
+                let state = state.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(|request| {
+                        let state = state.clone();
+                        async move { Ok::<_, Infallible>(answer(&state, request).await) }
+                    });
+                    let connection =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                    // A peer that leaves needs no line of its own.
+                    let _ended = connection.await;
+                });
+            }
+            Err(error) => {
+                warn!(%error, "operators: can't accept a connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(state: &Arc<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, path) if path == state.options.gateway.ready_path => {
+            match state.is_ready(boot::Instant::now()) {
+                true => respond(StatusCode::OK, "ready\n"),
+                false => respond(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            }
+        }
+        (&Method::GET, wire::METRICS_PATH) => match state.meter.text(knowledge(state)) {
+            Ok(text) => respond(StatusCode::OK, text),
+            Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        },
+        (&Method::POST, wire::PATH) => follow(state, request).await,
+        _ => respond(StatusCode::NOT_FOUND, "no such page\n"),
+    }
+}
+
+fn knowledge(state: &State) -> Knowledge {
+    let now = Instant::now();
+    let view = state.view();
+    Knowledge {
+        upstreams: view.upstreams(),
+        hosts: lock(&state.peers).live(now).count() + 1,
+        age: state.age(boot::Instant::now()),
+        version: view.table().map_or(0, |table| table.version),
+    }
+}
+
+/// Answers a follower as soon as there is something new.
+async fn follow(state: &Arc<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let began = Instant::now();
+    let body = Limited::new(request.into_body(), ASK_BYTES).collect().await;
+    let ask = match body.map(|body| rmp_serde::from_slice::<wire::Ask>(&body.to_bytes())) {
+        Ok(Ok(ask)) => ask,
+        Ok(Err(error)) => return respond(StatusCode::BAD_REQUEST, error.to_string()),
+        Err(error) => return respond(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let wait = Duration::from_millis(ask.wait_ms).min(LONGEST_WAIT);
+    loop {
+        let moved = state.moved.notified();
+        if lock(&state.mirror).revision() != ask.after {
+            break;
+        }
+        if timeout_at(began + wait, moved).await.is_err() {
+            break;
+        }
+    }
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let reply = {
+        let mirror = lock(&state.mirror);
+        let Some(age) = mirror.age(boot::Instant::now()) else {
+            return respond(StatusCode::SERVICE_UNAVAILABLE, "nothing known yet\n");
+        };
+        wire::Reply {
+            revision: mirror.revision(),
+            age_ms: millis(age),
+            waited_ms: millis(began.elapsed()),
+            content: match mirror.since(ask.after) {
+                Some(events) => Content::Changes(events),
+                None => Content::Whole(mirror.items().clone()),
+            },
+        }
+    };
+    match rmp_serde::to_vec(&reply) {
+        Ok(bytes) => respond(StatusCode::OK, bytes),
+        Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+fn respond(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,178 @@
+//! Which other hosts there are: found through seeds, kept by word of mouth.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::ident;
+
+/// Silence after which a host no longer counts as live.
+pub const LIVE_FOR: Duration = Duration::from_secs(3);
+
+/// Silence after which a host no longer counts in the division of budgets. Cut
+/// off hosts go on spending their part.
+const COUNTED_FOR: Duration = Duration::from_secs(60);
+
+/// Silence after which a host is no longer spoken to.
+const SPOKEN_TO_FOR: Duration = Duration::from_secs(120);
+
+/// The addresses told in one message.
+const TOLD: usize = 12;
+
+/// A host as others tell of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Its availability zone.
+    pub zone: ident::Zone,
+    /// How long ago it was heard by the one who tells, in milliseconds.
+    pub silent_ms: u64,
+}
+
+/// A host that was heard, or told of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its zone.
+    pub zone: ident::Zone,
+    /// The run of its process, once it was heard itself.
+    pub process: Option<u64>,
+    /// When it was heard itself.
+    pub heard: Option<Instant>,
+    /// When anyone heard it last, as far as is known.
+    pub seen: Instant,
+    /// Whether it said that it is leaving.
+    pub is_leaving: bool,
+    /// The revision of the store that it holds.
+    pub revision: u64,
+    /// Whether it could vouch for what it holds when it was heard.
+    pub is_fresh: bool,
+}
+
+/// What a message says of its sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// The sender's zone.
+    pub zone: ident::Zone,
+    /// The run of its process.
+    pub process: u64,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// The revision of the store that it holds.
+    pub revision: u64,
+    /// Whether it can vouch for what it holds.
+    pub is_fresh: bool,
+}
+
+/// The other hosts, by address.
+#[derive(Clone, Debug)]
+pub struct Table {
+    own: Ipv4Addr,
+    seeds: Vec<Ipv4Addr>,
+    peers: BTreeMap<Ipv4Addr, Peer>,
+    turn: usize,
+}
+
+impl Table {
+    /// Creates a table that knows the seeds only.
+    pub fn new(own: Ipv4Addr, seeds: Vec<Ipv4Addr>) -> Self {
+        let seeds = seeds.into_iter().filter(|seed| *seed != own).collect();
+        Self {
+            own,
+            seeds,
+            peers: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Takes in a message of a host, and tells whether it is a new run of it.
+    pub fn hear(&mut self, now: Instant, address: Ipv4Addr, word: Word) -> bool {
+        let old = self.peers.get(&address);
+        let is_new = old.and_then(|peer| peer.process) != Some(word.process);
+        let peer = Peer {
+            zone: word.zone,
+            process: Some(word.process),
+            heard: Some(now),
+            seen: now,
+            is_leaving: word.is_leaving,
+            revision: word.revision,
+            is_fresh: word.is_fresh,
+        };
+        self.peers.insert(address, peer);
+        is_new
+    }
+
+    /// Takes in a host that another told of.
+    pub fn learn(&mut self, now: Instant, contact: &Contact) {
+        let silent = Duration::from_millis(contact.silent_ms);
+        let seen = now.checked_sub(silent);
+        let Some(seen) = seen.filter(|_| silent < COUNTED_FOR && contact.address != self.own)
+        else {
+            return;
+        };
+        let peer = self.peers.entry(contact.address).or_insert_with(|| Peer {
+            zone: contact.zone.clone(),
+            process: None,
+            heard: None,
+            seen,
+            is_leaving: false,
+            revision: 0,
+            is_fresh: false,
+        });
+        peer.seen = peer.seen.max(seen);
+    }
+
+    /// Returns the hosts that are live, with their addresses.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| {
+            let heard = peer.heard.map(|heard| now.duration_since(heard));
+            heard.is_some_and(|silent| silent < LIVE_FOR) && !peer.is_leaving
+        })
+    }
+
+    /// Returns how many hosts share the fleet's budgets, this one included.
+    pub fn sharing(&self, now: Instant) -> usize {
+        let counted = self.peers.values();
+        let counted = counted.filter(|peer| now.duration_since(peer.seen) < COUNTED_FOR);
+        counted.count() + 1
+    }
+
+    /// Returns the hosts that share budgets, with their zones, without this one.
+    pub fn counted(&self, now: Instant) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
+        let peers = self.peers.iter();
+        peers.filter(move |(_, peer)| now.duration_since(peer.seen) < COUNTED_FOR)
+    }
+
+    /// Returns the addresses to speak to: hosts that were seen, and seeds that
+    /// weren't heard lately.
+    pub fn targets(&mut self, now: Instant) -> Vec<(Ipv4Addr, Option<ident::Zone>)> {
+        self.peers
+            .retain(|_, peer| now.duration_since(peer.seen) < SPOKEN_TO_FOR);
+        let known = self.peers.iter();
+        let known = known.map(|(address, peer)| (*address, Some(peer.zone.clone())));
+        let seeds = self.seeds.iter();
+        let unknown = seeds.filter(|seed| !self.peers.contains_key(*seed));
+        known.chain(unknown.map(|seed| (*seed, None))).collect()
+    }
+
+    /// Returns some hosts to tell others of, another part each time.
+    pub fn contacts(&mut self, now: Instant) -> Vec<Contact> {
+        let count = self.peers.len();
+        let skip = self.turn % count.max(1);
+        self.turn = self.turn.wrapping_add(TOLD);
+        let peers = self.peers.iter().cycle().skip(skip).take(count.min(TOLD));
+        let contacts = peers.map(|(address, peer)| {
+            let silent = now.duration_since(peer.seen).as_millis();
+            Contact {
+                address: *address,
+                zone: peer.zone.clone(),
+                silent_ms: u64::try_from(silent).unwrap_or(u64::MAX),
+            }
+        });
+        contacts.collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/reader.rs
@@ -0,0 +1,347 @@
+//! Keeps the mirror of the platform's store up to date.
+//!
+//! In a small fleet every host reads the store itself. In a large one a few
+//! hosts of each zone do, chosen by rendezvous hashing over those that live, and
+//! the others follow them. A host that can't reach its source follows any host
+//! that can.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tracing::info;
+use tracing::warn;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::boot;
+use crate::gateway::connection::harden;
+use crate::gateway::source::Fault;
+use crate::gateway::state::State;
+use crate::gateway::view;
+use crate::lock::lock;
+use crate::mirror;
+use crate::mirror::wire;
+use crate::mirror::wire::Content;
+
+/// The longest that a watch on the store waits; it bounds the age of what is
+/// known, which operators bound to some seconds.
+const WATCH: Duration = Duration::from_millis(2_000);
+
+/// How long an answer of the store may take beyond the wait asked for.
+const STORE_PATIENCE: Duration = Duration::from_millis(800);
+
+/// The longest that a full read of the store may take.
+const LIST_PATIENCE: Duration = Duration::from_millis(3_000);
+
+/// The longest that a follower asks to wait.
+const FOLLOW: Duration = Duration::from_millis(1_500);
+
+/// How long an answer to a follower may take beyond the wait asked for.
+const FOLLOW_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Hosts up to which all read the store.
+const SMALL_FLEET: usize = 16;
+
+/// Hosts of each zone that read the store in a larger fleet.
+const READERS: usize = 2;
+
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// The age of the mirror from which on a failed source counts as an outage, in
+/// which entries of upstreams may have lapsed.
+const OUTAGE_AGE: Duration = Duration::from_millis(2_400);
+
+/// The longest answer to a follower, in bytes.
+const REPLY_BYTES: usize = 16 << 20;
+
+/// Why another host can't be followed.
+#[derive(Debug, thiserror::Error)]
+enum Lost {
+    #[error("no answer within {0:?}")]
+    Silent(Duration),
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("connection broke: {0}")]
+    Broken(#[from] hyper::Error),
+    #[error("answer broke off: {0}")]
+    Cut(#[source] Box<dyn std::error::Error + Send + Sync>),
+    #[error("it refused with status {0}")]
+    Refused(http::StatusCode),
+    #[error("question can't be encoded: {0}")]
+    Encode(#[from] rmp_serde::encode::Error),
+    #[error("answer can't be decoded: {0}")]
+    Decode(#[from] rmp_serde::decode::Error),
+}
+
+/// Reads the store, or follows a host that does, until the process stops.
+pub async fn run(state: Arc<State>) {
+    let mut store = Store::default();
+    loop {
+        let step = async {
+            match reads_store(&state) {
+                true => store.step(&state).await,
+                false => follow_near(&state, &mut store).await,
+            }
+        };
+        tokio::select! {
+            () = state.stop.cancelled() => return,
+            () = step => {}
+        }
+    }
+}
+
+/// Tells whether this host reads the store itself.
+fn reads_store(state: &State) -> bool {
+    let now = Instant::now();
+    let peers = lock(&state.peers);
+    if peers.sharing(now) <= SMALL_FLEET {
+        return true;
+    }
+    let score = |address: &Ipv4Addr| xxh3_64(&address.octets());
+    let own = score(&state.address);
+    let zone = &state.options.host.zone;
+    let near = peers.live(now).filter(|(_, peer)| peer.zone == *zone);
+    let before = near.filter(|(address, _)| score(address) > own);
+    before.count() < READERS
+}
+
+/// Reading the store itself.
+#[derive(Debug, Default)]
+struct Store {
+    /// Whether the store's history was lost, or nothing was read yet.
+    is_behind: bool,
+    failures: u32,
+}
+
+impl Store {
+    async fn step(&mut self, state: &Arc<State>) {
+        let revision = lock(&state.mirror).revision();
+        let as_of = boot::Instant::now();
+        let result = match revision == 0 || self.is_behind {
+            true => self.list(state, as_of).await,
+            false => watch(state, revision, as_of).await,
+        };
+        match result {
+            Ok(()) => {
+                state.meter.read("ok");
+                if self.failures > 0 {
+                    info!(failures = self.failures, "store: regained");
+                }
+                self.failures = 0;
+                self.is_behind = false;
+            }
+            Err(Fault::HistoryGone) => {
+                state.meter.read("history-gone");
+                info!(revision, "store: history gone, reading all items");
+                self.is_behind = true;
+            }
+            Err(fault) => {
+                state.meter.read("failed");
+                if self.failures == 0 {
+                    warn!(%fault, revision, "store: lost");
+                }
+                self.failures = self.failures.saturating_add(1);
+                follow_any(state).await;
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    async fn list(&self, state: &Arc<State>, as_of: boot::Instant) -> Result<(), Fault> {
+        let read = timeout(LIST_PATIENCE, (state.source.list)()).await;
+        let whole = read.unwrap_or(Err(Fault::Silent(LIST_PATIENCE)))?;
+        adopt(state, as_of, |mirror| {
+            mirror.replace(whole.items, whole.revision, as_of)
+        });
+        Ok(())
+    }
+}
+
+async fn watch(state: &Arc<State>, revision: u64, as_of: boot::Instant) -> Result<(), Fault> {
+    let limit = WATCH + STORE_PATIENCE;
+    let read = timeout(limit, (state.source.watch)(revision, WATCH)).await;
+    let delta = read.unwrap_or(Err(Fault::Silent(limit)))?;
+    adopt(state, as_of, |mirror| {
+        mirror.apply(delta.events, delta.revision, as_of)
+    });
+    Ok(())
+}
+
+/// Follows a reader of this zone, or reads the store if there is none.
+async fn follow_near(state: &Arc<State>, store: &mut Store) {
+    let now = Instant::now();
+    let zone = state.options.host.zone.clone();
+    let leader = {
+        let peers = lock(&state.peers);
+        let near = peers.live(now);
+        let near = near.filter(|(_, peer)| peer.zone == zone && peer.is_fresh);
+        let mut near: Vec<Ipv4Addr> = near.map(|(address, _)| *address).collect();
+        near.sort_by_key(|address| std::cmp::Reverse(xxh3_64(&address.octets())));
+        near.truncate(READERS);
+        let index = state.process % near.len().max(1) as u64;
+        near.get(usize::try_from(index).unwrap_or_default())
+            .copied()
+    };
+    match leader {
+        Some(leader) => {
+            if let Err(lost) = follow(state, leader, FOLLOW).await {
+                info!(%leader, %lost, "peers: can't follow");
+                store.step(state).await;
+            }
+        }
+        None => store.step(state).await,
+    }
+}
+
+/// Asks one host that can vouch for what it holds, this zone's hosts first.
+async fn follow_any(state: &Arc<State>) {
+    let now = Instant::now();
+    let zone = state.options.host.zone.clone();
+    let draw = state.draw();
+    let leader = {
+        let peers = lock(&state.peers);
+        let fresh = peers.live(now).filter(|(_, peer)| peer.is_fresh);
+        let fresh: Vec<(bool, Ipv4Addr)> = fresh
+            .map(|(address, peer)| (peer.zone == zone, *address))
+            .collect();
+        let near: Vec<_> = fresh.iter().filter(|(near, _)| *near).collect();
+        let pool = match near.is_empty() {
+            true => fresh.iter().collect(),
+            false => near,
+        };
+        let index = (draw * pool.len() as f64) as usize;
+        pool.get(index).map(|(_, address)| *address)
+    };
+    if let Some(leader) = leader
+        && let Err(lost) = follow(state, leader, Duration::ZERO).await
+    {
+        info!(%leader, %lost, "peers: can't follow");
+    }
+}
+
+/// Asks a host for what it holds, and adopts it.
+async fn follow(state: &Arc<State>, leader: Ipv4Addr, wait: Duration) -> Result<(), Lost> {
+    let as_of = boot::Instant::now();
+    let after = lock(&state.mirror).revision();
+    let limit = wait + FOLLOW_PATIENCE;
+    let address = SocketAddr::from((leader, state.options.host.peer.port()));
+    let asked = timeout(limit, ask(address, after, wait)).await;
+    let reply = asked.map_err(|_| Lost::Silent(limit))??;
+    // The reply was made this long after the question left, at the earliest.
+    let made = as_of + Duration::from_millis(reply.waited_ms);
+    let as_of = made.before(Duration::from_millis(reply.age_ms));
+    adopt(state, as_of, |mirror| match reply.content {
+        Content::Changes(events) => mirror.apply(events, reply.revision, as_of),
+        Content::Whole(items) => mirror.replace(items, reply.revision, as_of),
+    });
+    Ok(())
+}
+
+async fn ask(address: SocketAddr, after: u64, wait: Duration) -> Result<wire::Reply, Lost> {
+    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    let question = rmp_serde::to_vec(&wire::Ask { after, wait_ms })?;
+    let stream = TcpStream::connect(address).await?;
+    harden(&stream)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let request = Request::post(wire::PATH)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(Bytes::from(question)))
+        .map_err(|error| Lost::Cut(error.into()))?;
+    let exchange = async {
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), REPLY_BYTES).collect();
+        match status.is_success() {
+            true => Ok(body.await.map_err(Lost::Cut)?.to_bytes()),
+            false => Err(Lost::Refused(status)),
+        }
+    };
+    let bytes = tokio::select! {
+        bytes = exchange => bytes?,
+        ended = connection => {
+            ended?;
+            return Err(Lost::Refused(http::StatusCode::SERVICE_UNAVAILABLE));
+        }
+    };
+    Ok(rmp_serde::from_slice(&bytes)?)
+}
+
+/// Changes the mirror and then the view.
+fn adopt(
+    state: &State,
+    as_of: boot::Instant,
+    change: impl FnOnce(&mut mirror::Table) -> Vec<mirror::Event>,
+) {
+    let now = boot::Instant::now();
+    let (changes, revision, was_away) = {
+        let mut mirror = lock(&state.mirror);
+        let was_away = mirror.age(now).is_some_and(|age| age > OUTAGE_AGE);
+        let before = mirror.revision();
+        let changes = change(&mut mirror);
+        let moved = mirror.revision() != before;
+        (changes, moved.then(|| mirror.revision()), was_away)
+    };
+    if was_away {
+        let until = now + view::RESTORE_WINDOW;
+        *lock(&state.restored_by) = Some(until);
+        info!(
+            window_ms = view::RESTORE_WINDOW.as_millis(),
+            "store: back, lapsed upstreams stay in use for a while"
+        );
+    }
+    let age = now.since(as_of);
+    if !changes.is_empty() {
+        let restored_by = *lock(&state.restored_by);
+        let mut view = lock(&state.view);
+        let view = Arc::make_mut(&mut view);
+        for event in &changes {
+            apply(state, view, now, event, restored_by);
+        }
+        info!(
+            changes = changes.len(),
+            revision,
+            age_ms = age.as_millis(),
+            version = view.table().map(|table| table.version),
+            upstreams = view.upstreams(),
+            "view: changed"
+        );
+        state.changed.notify_waiters();
+    }
+    if revision.is_some() {
+        state.moved.notify_waiters();
+    }
+}
+
+fn apply(
+    state: &State,
+    view: &mut view::View,
+    now: boot::Instant,
+    event: &mirror::Event,
+    restored_by: Option<boot::Instant>,
+) {
+    let key = event.key.as_str();
+    let Some(value) = &event.value else {
+        info!(key, revision = event.revision, "view: item gone");
+        return view.remove(now, key, restored_by);
+    };
+    match (state.source.decode)(key, value) {
+        Ok(Some(entry)) => view.insert(now, key, entry),
+        Ok(None) => {}
+        Err(error) => {
+            warn!(key, revision = event.revision, %error, "view: item can't be used");
+            view.spoil(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/refusal.rs
@@ -0,0 +1,39 @@
+//! Refusals as callers of the gateway see them.
+
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+
+use crate::entry::problem::CONTENT_TYPE;
+use crate::entry::problem::Problem;
+use crate::gateway::stream::Payload;
+use crate::outcome::Refusal;
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// Returns the answer for a request that was refused.
+///
+/// `attempt` is echoed under the name of its header. The time to come back is in
+/// seconds with a fraction.
+pub fn response(refusal: &Refusal, attempt: Option<(&HeaderName, &str)>) -> Response<Payload> {
+    let body = Full::from(Problem::new(refusal).body()).map_err(|never| match never {});
+    let mut response = Response::new(Payload::new(body));
+    *response.status_mut() = refusal.code.status();
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE));
+    if let Some(wait) = refusal.retry_after_ms {
+        let seconds = format!("{:.2}", wait as f64 / MILLIS_PER_SECOND);
+        if let Ok(value) = HeaderValue::try_from(seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    if let Some((name, id)) = attempt
+        && let Ok(value) = HeaderValue::try_from(id)
+    {
+        headers.insert(name.clone(), value);
+    }
+    response
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,337 @@
+//! The tables that the tasks of a gateway share.
+//!
+//! A task that holds one of these locks takes only ones further down, and holds
+//! none across an await:
+//!
+//! 1. `mirror`: the store's items
+//! 2. `view`: what the items mean
+//! 3. `peers`: which other hosts there are
+//! 4. `health`: what became of requests at upstreams
+//! 5. `loads`: requests under way
+//! 6. `cold`: starts at cold upstreams
+//! 7. `retries`: the budget for retries
+//! 8. `strikes`: requests that crashed upstreams
+//! 9. `meter`: counters and histograms, and the connections' own
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::boot;
+use crate::gateway::budget;
+use crate::gateway::cold;
+use crate::gateway::connection;
+use crate::gateway::health;
+use crate::gateway::job::Job;
+use crate::gateway::load;
+use crate::gateway::measure;
+use crate::gateway::names::Names;
+use crate::gateway::peers;
+use crate::gateway::place;
+use crate::gateway::place::Candidate;
+use crate::gateway::place::Choice;
+use crate::gateway::source::Source;
+use crate::gateway::upstream::Known;
+use crate::gateway::view::View;
+use crate::ident;
+use crate::lock::lock;
+use crate::mirror;
+use crate::options::Options;
+use crate::policy::strike;
+
+/// Upstreams lost with a request before it is refused: users allow three.
+const STRIKES: usize = 3;
+
+/// How long strikes are kept.
+const STRIKES_FOR: Duration = Duration::from_secs(60);
+
+/// The most requests with strikes that are remembered.
+const STRUCK_REQUESTS: usize = 4_096;
+
+/// Everything that the tasks of a gateway share.
+pub struct State {
+    /// The settings.
+    pub options: Options,
+    /// This run of the process.
+    pub process: u64,
+    /// The address at which other hosts know this one.
+    pub address: Ipv4Addr,
+    /// The platform's headers.
+    pub names: Names,
+    /// The way to the platform's store.
+    pub source: Source,
+    /// The store's items.
+    pub mirror: Mutex<mirror::Table>,
+    /// What the items mean.
+    pub view: Mutex<Arc<View>>,
+    /// Which other hosts there are.
+    pub peers: Mutex<peers::Table>,
+    /// What became of requests at upstreams.
+    pub health: Mutex<health::Table>,
+    /// Requests under way.
+    pub loads: Mutex<load::Table>,
+    /// Starts at cold upstreams.
+    pub cold: Mutex<cold::Table>,
+    /// The budget for retries.
+    pub retries: Mutex<budget::Table>,
+    /// Requests that crashed upstreams.
+    pub strikes: Mutex<strike::Table>,
+    /// Counters and histograms.
+    pub meter: measure::Meter,
+    /// Connections to upstreams.
+    pub pool: connection::Pool,
+    /// Until when lapsed entries may be restored.
+    pub restored_by: Mutex<Option<boot::Instant>>,
+    /// Notified when a place became free or the view changed.
+    pub changed: Notify,
+    /// Notified when the mirror moved on.
+    pub moved: Notify,
+    /// Notified when other hosts should hear of something at once.
+    pub urgent: Notify,
+    /// Requests of callers under way.
+    pub active: AtomicUsize,
+    /// Cancelled when a shutdown begins.
+    pub draining: CancellationToken,
+    /// Cancelled when idle connections of callers are to be closed.
+    pub closing: CancellationToken,
+    /// Cancelled when the process ends.
+    pub stop: CancellationToken,
+    random: Mutex<StdRng>,
+}
+
+impl State {
+    /// Returns the tables of a host that knows nothing yet.
+    pub fn new(options: Options, names: Names, source: Source, mut random: StdRng) -> Self {
+        let address = match options.host.caller.ip() {
+            std::net::IpAddr::V4(address) => address,
+            std::net::IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+        };
+        let seeds = options
+            .peer
+            .seeds
+            .iter()
+            .filter_map(|seed| match seed.ip() {
+                std::net::IpAddr::V4(address) => Some(address),
+                std::net::IpAddr::V6(_) => None,
+            });
+        let peers = peers::Table::new(address, seeds.collect());
+        Self {
+            process: random.random(),
+            address,
+            names,
+            source,
+            mirror: Mutex::default(),
+            view: Mutex::default(),
+            peers: Mutex::new(peers),
+            health: Mutex::default(),
+            loads: Mutex::default(),
+            cold: Mutex::default(),
+            retries: Mutex::default(),
+            strikes: Mutex::new(strike::Table::new(strike::Limits {
+                upstreams: STRIKES,
+                keep: STRIKES_FOR,
+                most: STRUCK_REQUESTS,
+            })),
+            meter: measure::Meter::new(),
+            pool: connection::Pool::default(),
+            restored_by: Mutex::default(),
+            changed: Notify::new(),
+            moved: Notify::new(),
+            urgent: Notify::new(),
+            active: AtomicUsize::new(0),
+            draining: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            random: Mutex::new(random),
+            options,
+        }
+    }
+
+    /// Returns what the store's items mean.
+    pub fn view(&self) -> Arc<View> {
+        lock(&self.view).clone()
+    }
+
+    /// Returns how long ago the store is known to have held what this host
+    /// holds.
+    pub fn age(&self, now: boot::Instant) -> Option<Duration> {
+        lock(&self.mirror).age(now)
+    }
+
+    /// Tells whether keys can be vouched for: none was taken away longer ago
+    /// than operators allow without this host knowing.
+    pub fn vouches_for_keys(&self, now: boot::Instant) -> bool {
+        let age = self.age(now);
+        age.is_some_and(|age| age < self.options.gateway.key_age())
+    }
+
+    /// Tells whether the balancer should send callers here.
+    pub fn is_ready(&self, now: boot::Instant) -> bool {
+        let has_table = lock(&self.view).table().is_some();
+        has_table && self.vouches_for_keys(now) && !self.draining.is_cancelled()
+    }
+
+    /// Draws a number that is even in 0..1.
+    pub fn draw(&self) -> f64 {
+        lock(&self.random).random()
+    }
+
+    /// Chooses an upstream for a request, and counts the request there.
+    pub fn choose(self: &Arc<Self>, job: &Job, tried: &[ident::Upstream]) -> Placed {
+        let now = Instant::now();
+        let boot = boot::Instant::now();
+        let view = self.view();
+        let usable: Vec<&Arc<Known>> = view
+            .usable(boot)
+            .filter(|known| known.upstream.service == job.service)
+            .collect();
+        let most = view.table().and_then(|table| {
+            let service = table.service(&job.service)?;
+            let per_second = service.cold_per_second?;
+            let gateway = &self.options.gateway;
+            Some(per_second * gateway.cold_overage + gateway.cold_slack)
+        });
+        let rooms: Vec<Option<usize>> = usable
+            .iter()
+            .map(|known| match most {
+                Some(most) if known.cold_until > boot => {
+                    Some(self.cold_room(now, &known.upstream, most))
+                }
+                Some(_) | None => None,
+            })
+            .collect();
+        let (choice, facts) = {
+            let health = lock(&self.health);
+            let loads = lock(&self.loads);
+            let candidates: Vec<Candidate<'_>> = usable
+                .iter()
+                .zip(&rooms)
+                .map(|(known, room)| {
+                    let id = &known.upstream.id;
+                    Candidate {
+                        id,
+                        load: loads.total(id),
+                        slots: known.upstream.slots,
+                        is_near: known.upstream.zone == self.options.host.zone,
+                        usage: health.usage(now, id),
+                        losses: health.score(id),
+                        cold_room: *room,
+                        is_tried: tried.contains(id),
+                    }
+                })
+                .collect();
+            let may_try = job.route.kind.is_repeatable();
+            let choice = match job.route.is_sticky {
+                true => place::engine(job.affinity, &candidates, may_try),
+                false => place::plain(self.draw(), &candidates, may_try),
+            };
+            let facts = match choice {
+                Choice::Send(index) => candidates.get(index).map(|it| Facts {
+                    load: it.load,
+                    candidates: candidates.len(),
+                    usage: it.usage,
+                    is_cold: it.cold_room.is_some(),
+                }),
+                Choice::Wait | Choice::Nowhere => None,
+            };
+            (choice, facts)
+        };
+        let known = match choice {
+            Choice::Send(index) => usable.get(index),
+            Choice::Wait => return Placed::Wait,
+            Choice::Nowhere => return Placed::Nowhere,
+        };
+        let (Some(known), Some(facts)) = (known, facts) else {
+            return Placed::Nowhere;
+        };
+        let id = &known.upstream.id;
+        if facts.usage == health::Use::Trial {
+            lock(&self.health).begin_trial(now, id);
+        }
+        lock(&self.loads).begin(id);
+        if facts.is_cold {
+            lock(&self.cold).record(now, id);
+        }
+        Placed::At(Lease {
+            state: self.clone(),
+            known: Arc::clone(known),
+            facts,
+        })
+    }
+
+    fn cold_room(
+        &self,
+        now: Instant,
+        upstream: &crate::gateway::upstream::Upstream,
+        most: f64,
+    ) -> usize {
+        let (sharing, rank) = {
+            let peers = lock(&self.peers);
+            let score = |address: &Ipv4Addr| {
+                let seed = u64::from(u32::from(*address));
+                xxh3_64_with_seed(upstream.id.as_str().as_bytes(), seed)
+            };
+            let own = score(&self.address);
+            let is_near = self.options.host.zone == upstream.zone;
+            // Hosts of the upstream's own zone come first, as prompts stay there.
+            let before = peers.counted(now).filter(|(address, peer)| {
+                match (peer.zone == upstream.zone, is_near) {
+                    (true, false) => true,
+                    (false, true) => false,
+                    _ => score(address) > own,
+                }
+            });
+            (peers.sharing(now), before.count())
+        };
+        let share = cold::share(most, sharing, rank);
+        share.saturating_sub(lock(&self.cold).recent(now, &upstream.id))
+    }
+}
+
+/// What spoke for an upstream when it was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Facts {
+    /// Requests that were under way there.
+    pub load: u32,
+    /// Upstreams to choose from.
+    pub candidates: usize,
+    /// How it could be used.
+    pub usage: health::Use,
+    /// Whether it was cold.
+    pub is_cold: bool,
+}
+
+/// The outcome of a choice.
+pub enum Placed {
+    /// The request may be sent.
+    At(Lease),
+    /// An upstream will be free or usable soon.
+    Wait,
+    /// No upstream serves it.
+    Nowhere,
+}
+
+/// A request counted at an upstream until this is dropped.
+pub struct Lease {
+    state: Arc<State>,
+    /// The upstream.
+    pub known: Arc<Known>,
+    /// What spoke for it.
+    pub facts: Facts,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        lock(&self.state.loads).end(&self.known.upstream.id);
+        self.state.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/src/gateway/view.rs
@@ -0,0 +1,102 @@
+//! What the store's items mean: the route table, upstreams, evacuated zones.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::boot;
+use crate::gateway::source::Entry;
+use crate::gateway::table::Table;
+use crate::gateway::upstream::Known;
+use crate::ident;
+
+/// How long after the store's return an upstream's lapsed entry may still be
+/// restored; the platform says about two seconds.
+pub const RESTORE_WINDOW: Duration = Duration::from_millis(2_300);
+
+/// The decoded items.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    table: Option<Arc<Table>>,
+    table_key: Option<String>,
+    upstreams: BTreeMap<String, Arc<Known>>,
+    evacuated: BTreeMap<String, ident::Zone>,
+}
+
+impl View {
+    /// Returns the route table, once one is known.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// Returns the upstreams that may get new work.
+    pub fn usable(&self, now: boot::Instant) -> impl Iterator<Item = &Arc<Known>> {
+        let all = self.upstreams.values();
+        all.filter(move |known| known.takes_work(now) && !self.is_evacuated(known))
+    }
+
+    /// Returns the start of an upstream that is listed under a name.
+    pub fn upstream(&self, id: &ident::Upstream) -> Option<&Arc<Known>> {
+        let mut all = self.upstreams.values();
+        all.find(|known| known.upstream.id == *id)
+    }
+
+    /// Tells whether an upstream may get new work.
+    pub fn is_usable(&self, now: boot::Instant, id: &ident::Upstream) -> bool {
+        let known = self.upstream(id);
+        known.is_some_and(|known| known.takes_work(now) && !self.is_evacuated(known))
+    }
+
+    /// Returns how many upstreams are listed.
+    pub fn upstreams(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Takes in what an item says now.
+    pub fn insert(&mut self, now: boot::Instant, key: &str, entry: Entry) {
+        match entry {
+            Entry::Table(table) => {
+                self.table = Some(Arc::new(*table));
+                self.table_key = Some(key.to_owned());
+            }
+            Entry::Upstream(upstream) => {
+                let known = Known {
+                    cold_until: now + upstream.cold_left,
+                    upstream,
+                    lapses_at: None,
+                };
+                self.upstreams.insert(key.to_owned(), Arc::new(known));
+            }
+            Entry::Evacuated(zone) => {
+                self.evacuated.insert(key.to_owned(), zone);
+            }
+        }
+    }
+
+    /// Takes in that an item is gone. An upstream stays in use until
+    /// `restored_by`, the end of the time in which a lapsed entry may come back.
+    /// The last route table stays in force.
+    pub fn remove(&mut self, now: boot::Instant, key: &str, restored_by: Option<boot::Instant>) {
+        self.evacuated.remove(key);
+        match (self.upstreams.get_mut(key), restored_by) {
+            (Some(known), Some(by)) if by > now => Arc::make_mut(known).lapses_at = Some(by),
+            (Some(_), _) => {
+                self.upstreams.remove(key);
+            }
+            (None, _) => {}
+        }
+        self.upstreams
+            .retain(|_, known| known.lapses_at.is_none_or(|at| at > now));
+    }
+
+    /// Takes in that an item can't be read: it names no upstream to use, and a
+    /// route table or an evacuation stays as it was.
+    pub fn spoil(&mut self, key: &str) {
+        self.upstreams.remove(key);
+    }
+
+    fn is_evacuated(&self, known: &Known) -> bool {
+        let mut zones = self.evacuated.values();
+        zones.any(|zone| *zone == known.upstream.zone)
+    }
+}
--- /dev/null
+++ b/src/mirror/wire.rs
@@ -0,0 +1,46 @@
+//! What a follower asks another host, and the answer, as `rmp-serde`.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::mirror::Event;
+use crate::mirror::Item;
+
+/// The path at which a host answers followers.
+pub const PATH: &str = "/mirror";
+
+/// The path of operators' figures, as text.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Asks for what changed after a revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The follower's revision.
+    pub after: u64,
+    /// How long to wait for a change, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What a host holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The revision of the sender's table.
+    pub revision: u64,
+    /// The age of the sender's table when it answered, in milliseconds.
+    pub age_ms: u64,
+    /// How long the sender waited before it answered, in milliseconds.
+    pub waited_ms: u64,
+    /// What changed.
+    pub content: Content,
+}
+
+/// What changed since the follower's revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// The changes one by one.
+    Changes(Vec<Event>),
+    /// All items, as the changes are no longer known.
+    Whole(BTreeMap<String, Item>),
+}
--- a/src/options.rs
+++ b/src/options.rs
@@ -5,6 +5,7 @@
 mod convert;
 mod dangling;
 pub mod drain;
+pub mod gateway;
 pub mod host;
 pub mod log;
 pub mod metric;
@@ -21,6 +22,7 @@
 pub use caller::Caller;
 pub use dangling::dangling;
 pub use drain::Drain;
+pub use gateway::Gateway;
 pub use host::Host;
 pub use log::Log;
 pub use metric::Metric;
@@ -61,6 +63,8 @@
     pub log: Log,
     /// Which metrics are sent where.
     pub metric: Metric,
+    /// How a gateway bounds what it does together with other hosts.
+    pub gateway: Gateway,
 }
 
 impl Options {
@@ -79,6 +83,7 @@
             drain: Drain::default(),
             log: Log::default(),
             metric: Metric::default(),
+            gateway: Gateway::default(),
         }
     }
     /// Reads settings, or tells everything that is wrong with them.
--- a/src/options/constants.rs
+++ b/src/options/constants.rs
@@ -83,3 +83,26 @@
 pub const METRIC_PERIOD: Duration = Duration::from_secs(10);
 /// Workspaces with histograms of their own.
 pub const METRIC_WORKSPACES: usize = 100;
+
+/// The path at which the balancer asks whether a gateway is ready.
+pub const GATEWAY_READY_PATH: &str = "/readyz";
+/// The port for datagrams between gateways.
+pub const GATEWAY_GOSSIP_PORT: u16 = 7401;
+/// The least time between two messages of a gateway to other hosts.
+pub const GATEWAY_GOSSIP_PAUSE: Duration = Duration::from_millis(200);
+/// How long a key may still be used after it was taken away.
+pub const GATEWAY_REVOCATION: Duration = Duration::from_secs(5);
+/// Time for a request to get from its caller to an upstream.
+pub const GATEWAY_REVOCATION_MARGIN: Duration = Duration::from_millis(300);
+/// Time from the signal to leave until a gateway is killed.
+pub const GATEWAY_GRACE: Duration = Duration::from_secs(8);
+/// Retries for each request to a service.
+pub const GATEWAY_RETRY_RATIO: f64 = 0.2;
+/// Retries beyond these in each window.
+pub const GATEWAY_RETRY_SLACK: f64 = 50.0;
+/// The window in which retries are counted.
+pub const GATEWAY_RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// The multiple of its rate that a cold upstream bears.
+pub const GATEWAY_COLD_OVERAGE: f64 = 1.0;
+/// Starts a second that a cold upstream bears beyond that.
+pub const GATEWAY_COLD_SLACK: f64 = 0.0;
--- a/src/options/parse.rs
+++ b/src/options/parse.rs
@@ -85,6 +85,7 @@
             drain: from.drain.map(Into::into).unwrap_or_default(),
             log: from.log.map(Into::into).unwrap_or_default(),
             metric: from.metric.map(Into::into).unwrap_or_default(),
+            gateway: from.gateway.map(Into::into).unwrap_or_default(),
         }
     }
 }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -129,6 +129,12 @@
     ForeignAnswer,
     /// The answer is longer than allowed.
     AnswerTooLarge,
+    /// No workspace holds the key.
+    UnknownKey,
+    /// The host can't tell whether the key is still valid.
+    KeysStale,
+    /// The request crashed several upstreams that ran it.
+    CrashedRepeatedly,
 }
 
 /// A request that ended without an answer.
@@ -186,6 +192,7 @@
             Self::BodyTooSlow => S::REQUEST_TIMEOUT,
             Self::TooManyRequests | Self::WorkspaceFull => S::TOO_MANY_REQUESTS,
             Self::NoRoute | Self::NoModel => S::NOT_FOUND,
+            Self::UnknownKey => S::UNAUTHORIZED,
             Self::TokenRequired | Self::TokenExpired => S::PRECONDITION_REQUIRED,
             Self::TokenMismatch | Self::Quarantined => S::UNPROCESSABLE_ENTITY,
             Self::AnswerDropped | Self::StillRunning => S::CONFLICT,
@@ -208,6 +215,8 @@
             | Self::ConnectFailed
             | Self::IssuerLost
             | Self::HomeUnreachable
+            | Self::KeysStale
+            | Self::CrashedRepeatedly
             | Self::Version => S::SERVICE_UNAVAILABLE,
         }
     }
