Keep prompts where they were read, and hold lapsed upstreams only after an outage

The age of the mirror isn't a sign of an outage; failed calls are. Prompts moved at each change of the list: hosts now tell each other where prompts were sent.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,5 +30,6 @@
 pub mod table;
 pub mod upstream;
 pub mod view;
+pub mod warm;
 
 pub use state::State;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -362,7 +362,7 @@
         let now = Instant::now();
         let facts = lease.facts;
         info!(id = job.id, %upstream, load = facts.load, candidates = facts.candidates,
-            usage = %facts.usage, cold = facts.is_cold, last_event,
+            usage = %facts.usage, cold = facts.is_cold, warm = facts.is_warm, last_event,
             waited_ms = now.duration_since(job.arrived).as_millis(), "request: sent");
         match exchange(state, job, trail, lease, last_event).await {
             Ok(answer) => return Ok(answer),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,5 +1,6 @@
 //! What hosts tell each other by datagrams: that they live, what runs at
-//! upstreams, which upstreams they lost, which requests crash them.
+//! upstreams, which hold which prompt, which were lost, which requests crash
+//! them.
 
 use std::io;
 use std::net::IpAddr;
@@ -55,6 +56,7 @@
     loads: Vec<(ident::Upstream, u32)>,
     suspects: Vec<(ident::Upstream, u64)>,
     strikes: Vec<Strike>,
+    prompts: Vec<(u64, ident::Upstream)>,
     contacts: Vec<Contact>,
 }
 
@@ -146,6 +148,7 @@
         loads: loads.into_iter().collect(),
         suspects: suspects.collect(),
         strikes,
+        prompts: lock(&state.warm).take_news(),
         contacts,
     };
     loop {
@@ -161,6 +164,7 @@
             true => return Some(bytes),
             false if message.contacts.pop().is_some() => {}
             false if message.strikes.pop().is_some() => {}
+            false if message.prompts.pop().is_some() => {}
             false if message.loads.pop().is_some() => {}
             false => return Some(bytes),
         }
@@ -203,6 +207,12 @@
     }
     let loads = message.loads.into_iter().collect();
     lock(&state.loads).tell(now, message.process, loads);
+    {
+        let mut warm = lock(&state.warm);
+        for (prompt, upstream) in &message.prompts {
+            warm.learn(now, *prompt, upstream);
+        }
+    }
     let mut strikes = lock(&state.strikes);
     for strike in &message.strikes {
         strikes.merge(now, strike);
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -119,6 +119,7 @@
         }
     }
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let settling = lock(&state.outage).settling(boot::Instant::now());
     let reply = {
         let mirror = lock(&state.mirror);
         let Some(age) = mirror.age(boot::Instant::now()) else {
@@ -128,6 +129,7 @@
             revision: mirror.revision(),
             age_ms: millis(age),
             waited_ms: millis(began.elapsed()),
+            settling_ms: millis(settling),
             content: match mirror.since(ask.after) {
                 Some(events) => Content::Changes(events),
                 None => Content::Whole(mirror.items().clone()),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,18 +4,22 @@
 use crate::ident;
 use crate::policy::rank;
 
-/// The multiple of the mean load up to which an engine keeps its own prompts.
-/// Answers one prompt that much of the traffic shares.
-const LOAD_MULTIPLE: f64 = 1.6;
+/// The multiple of the mean load up to which an engine gets requests whose prompt
+/// it holds. Answers one prompt that much of the traffic shares: users allow
+/// twice the mean.
+const WARM_MULTIPLE: f64 = 1.9;
 
-/// Requests over the mean that an engine takes in any case. Answers a calm day,
-/// on which the mean is a few requests and moving a prompt costs more than a
-/// longer batch.
-const LOAD_FLOOR: f64 = 4.0;
+/// Requests beyond that multiple that an engine takes in any case. Answers a calm
+/// day, on which the mean is a few requests.
+const WARM_FLOOR: f64 = 2.0;
+
+/// The same for prompts that the engine doesn't hold: these fill up the others.
+const FRESH_MULTIPLE: f64 = 1.25;
+const FRESH_FLOOR: f64 = 1.0;
 
 /// Engines in the caller's zone from which on prompts stay in the zone: with
 /// fewer, reading each prompt once a zone costs more than bytes between zones.
-const NEAR_ENGINES: usize = 8;
+const NEAR_ENGINES: usize = 16;
 
 /// The part of a plain upstream's slots up to which the caller's zone goes first.
 const NEAR_LOAD: f64 = 0.7;
@@ -39,6 +43,8 @@
     pub cold_room: Option<usize>,
     /// Whether this request was there already.
     pub is_tried: bool,
+    /// Whether it holds the prompt that the request shares with others.
+    pub is_warm: bool,
 }
 
 /// What to do with a request now.
@@ -53,7 +59,8 @@
 }
 
 /// Chooses an engine for a request whose prompt begins with what `key` names:
-/// the first in the prompt's order that isn't overloaded.
+/// the least loaded that holds it, or else the first in the prompt's order that
+/// isn't overloaded.
 pub fn engine(key: u64, candidates: &[Candidate<'_>], may_try: bool) -> Choice {
     let open = match open(candidates, may_try) {
         Ok(open) => open,
@@ -66,16 +73,21 @@
     };
     let total: u32 = pool.iter().map(|(_, it)| it.load).sum();
     let mean = f64::from(total) / pool.len().max(1) as f64;
-    let most = (mean * LOAD_MULTIPLE).max(mean + LOAD_FLOOR);
-    let has_room = |it: &Candidate<'_>| f64::from(it.load) < most && it.load < it.slots;
-    let roomy = pool.iter().filter(|(_, it)| has_room(it));
-    let best = roomy.max_by(|(_, a), (_, b)| {
+    let has_room = |it: &Candidate<'_>, most: f64| f64::from(it.load) < most && it.load < it.slots;
+    let warm = pool
+        .iter()
+        .filter(|(_, it)| it.is_warm && has_room(it, mean * WARM_MULTIPLE + WARM_FLOOR));
+    let fresh = pool
+        .iter()
+        .filter(|(_, it)| has_room(it, mean * FRESH_MULTIPLE + FRESH_FLOOR));
+    let best = fresh.max_by(|(_, a), (_, b)| {
         let a = rank::score(key, a.id, 1.0);
         let b = rank::score(key, b.id, 1.0);
         a.total_cmp(&b)
     });
     let least = || open.iter().min_by_key(|(_, it)| it.load);
-    match best.copied().or_else(least) {
+    let warm = warm.min_by_key(|(_, it)| it.load);
+    match warm.or(best).copied().or_else(least) {
         Some((index, it)) if it.load < it.slots.saturating_mul(2) => Choice::Send(*index),
         Some(_) => Choice::Wait,
         None => Choice::Nowhere,
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -59,9 +59,9 @@
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// The age of the mirror from which on a failed source counts as an outage, in
-/// which entries of upstreams may have lapsed.
-const OUTAGE_AGE: Duration = Duration::from_millis(2_400);
+/// Silence of the store from which on entries of upstreams may have lapsed: they
+/// do after three heartbeats of theirs.
+const OUTAGE: Duration = Duration::from_millis(1_200);
 
 /// The longest answer to a follower, in bytes.
 const REPLY_BYTES: usize = 16 << 20;
@@ -85,6 +85,43 @@
     Decode(#[from] rmp_serde::decode::Error),
 }
 
+/// Whether the store was away, as entries of live upstreams lapse meanwhile.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outage {
+    since: Option<boot::Instant>,
+    restored_by: Option<boot::Instant>,
+}
+
+impl Outage {
+    /// Records that a call which began at a moment failed.
+    pub fn begin(&mut self, at: boot::Instant) {
+        self.since.get_or_insert(at);
+    }
+
+    /// Records that the store answered, and tells whether it had been away.
+    pub fn end(&mut self, now: boot::Instant) -> bool {
+        let since = self.since.take();
+        let was_away = since.is_some_and(|since| now.since(since) > OUTAGE);
+        if was_away {
+            self.restored_by = Some(now + view::RESTORE_WINDOW);
+        }
+        was_away
+    }
+
+    /// Records that another host knows what the store holds: no entry lapsed but
+    /// for an outage that the host saw the end of.
+    pub fn pass(&mut self, now: boot::Instant, settling: Duration) {
+        self.since = None;
+        let until = now + settling;
+        self.restored_by = self.restored_by.max(Some(until));
+    }
+
+    /// Returns how much longer lapsed entries may be restored.
+    pub fn settling(&self, now: boot::Instant) -> Duration {
+        self.restored_by.map_or(Duration::ZERO, |by| by.since(now))
+    }
+}
+
 /// Reads the store, or follows a host that does, until the process stops.
 pub async fn run(state: Arc<State>) {
     let mut store = Store::default();
@@ -149,6 +186,7 @@
             }
             Err(fault) => {
                 state.meter.read("failed");
+                lock(&state.outage).begin(as_of);
                 if self.failures == 0 {
                     warn!(%fault, revision, "store: lost");
                 }
@@ -162,6 +200,7 @@
     async fn list(&self, state: &Arc<State>, as_of: boot::Instant) -> Result<(), Fault> {
         let read = timeout(LIST_PATIENCE, (state.source.list)()).await;
         let whole = read.unwrap_or(Err(Fault::Silent(LIST_PATIENCE)))?;
+        regained(state);
         adopt(state, as_of, |mirror| {
             mirror.replace(whole.items, whole.revision, as_of)
         });
@@ -173,12 +212,23 @@
     let limit = WATCH + STORE_PATIENCE;
     let read = timeout(limit, (state.source.watch)(revision, WATCH)).await;
     let delta = read.unwrap_or(Err(Fault::Silent(limit)))?;
+    regained(state);
     adopt(state, as_of, |mirror| {
         mirror.apply(delta.events, delta.revision, as_of)
     });
     Ok(())
 }
 
+fn regained(state: &State) {
+    let now = boot::Instant::now();
+    if lock(&state.outage).end(now) {
+        info!(
+            window_ms = view::RESTORE_WINDOW.as_millis(),
+            "store: back, lapsed upstreams stay in use for a while"
+        );
+    }
+}
+
 /// Follows a reader of this zone, or reads the store if there is none.
 async fn follow_near(state: &Arc<State>, store: &mut Store) {
     let now = Instant::now();
@@ -241,7 +291,12 @@
     let reply = asked.map_err(|_| Lost::Silent(limit))??;
     // The reply was made this long after the question left, at the earliest.
     let made = as_of + Duration::from_millis(reply.waited_ms);
-    let as_of = made.before(Duration::from_millis(reply.age_ms));
+    let age = Duration::from_millis(reply.age_ms);
+    let as_of = made.before(age);
+    if age < OUTAGE {
+        let settling = Duration::from_millis(reply.settling_ms);
+        lock(&state.outage).pass(boot::Instant::now(), settling);
+    }
     adopt(state, as_of, |mirror| match reply.content {
         Content::Changes(events) => mirror.apply(events, reply.revision, as_of),
         Content::Whole(items) => mirror.replace(items, reply.revision, as_of),
@@ -285,25 +340,16 @@
     change: impl FnOnce(&mut mirror::Table) -> Vec<mirror::Event>,
 ) {
     let now = boot::Instant::now();
-    let (changes, revision, was_away) = {
+    let (changes, revision) = {
         let mut mirror = lock(&state.mirror);
-        let was_away = mirror.age(now).is_some_and(|age| age > OUTAGE_AGE);
         let before = mirror.revision();
         let changes = change(&mut mirror);
         let moved = mirror.revision() != before;
-        (changes, moved.then(|| mirror.revision()), was_away)
+        (changes, moved.then(|| mirror.revision()))
     };
-    if was_away {
-        let until = now + view::RESTORE_WINDOW;
-        *lock(&state.restored_by) = Some(until);
-        info!(
-            window_ms = view::RESTORE_WINDOW.as_millis(),
-            "store: back, lapsed upstreams stay in use for a while"
-        );
-    }
     let age = now.since(as_of);
     if !changes.is_empty() {
-        let restored_by = *lock(&state.restored_by);
+        let restored_by = now + lock(&state.outage).settling(now);
         let mut view = lock(&state.view);
         let view = Arc::make_mut(&mut view);
         for event in &changes {
@@ -329,7 +375,7 @@
     view: &mut view::View,
     now: boot::Instant,
     event: &mirror::Event,
-    restored_by: Option<boot::Instant>,
+    restored_by: boot::Instant,
 ) {
     let key = event.key.as_str();
     let Some(value) = &event.value else {
@@ -337,7 +383,13 @@
         return view.remove(now, key, restored_by);
     };
     match (state.source.decode)(key, value) {
-        Ok(Some(entry)) => view.insert(now, key, entry),
+        Ok(Some(entry)) => {
+            if let Some(id) = view.insert(now, key, entry) {
+                info!(upstream = %id, "upstream: started anew");
+                lock(&state.health).forget(&id);
+                lock(&state.warm).forget(&id);
+            }
+        }
         Ok(None) => {}
         Err(error) => {
             warn!(key, revision = event.revision, %error, "view: item can't be used");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,9 +9,10 @@
 //! 4. `health`: what became of requests at upstreams
 //! 5. `loads`: requests under way
 //! 6. `cold`: starts at cold upstreams
-//! 7. `retries`: the budget for retries
-//! 8. `strikes`: requests that crashed upstreams
-//! 9. `meter`: counters and histograms, and the connections' own
+//! 7. `warm`: where prompts were sent
+//! 8. `retries`: the budget for retries
+//! 9. `strikes`: requests that crashed upstreams
+//! 10. `meter`: counters and histograms, and the connections' own
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -39,9 +40,11 @@
 use crate::gateway::place;
 use crate::gateway::place::Candidate;
 use crate::gateway::place::Choice;
+use crate::gateway::reader;
 use crate::gateway::source::Source;
 use crate::gateway::upstream::Known;
 use crate::gateway::view::View;
+use crate::gateway::warm;
 use crate::ident;
 use crate::lock::lock;
 use crate::mirror;
@@ -81,6 +84,8 @@
     pub loads: Mutex<load::Table>,
     /// Starts at cold upstreams.
     pub cold: Mutex<cold::Table>,
+    /// Where prompts were sent.
+    pub warm: Mutex<warm::Table>,
     /// The budget for retries.
     pub retries: Mutex<budget::Table>,
     /// Requests that crashed upstreams.
@@ -89,8 +94,8 @@
     pub meter: measure::Meter,
     /// Connections to upstreams.
     pub pool: connection::Pool,
-    /// Until when lapsed entries may be restored.
-    pub restored_by: Mutex<Option<boot::Instant>>,
+    /// Since when the store didn't answer, and what follows from its return.
+    pub outage: Mutex<reader::Outage>,
     /// Notified when a place became free or the view changed.
     pub changed: Notify,
     /// Notified when the mirror moved on.
@@ -135,6 +140,7 @@
             health: Mutex::default(),
             loads: Mutex::default(),
             cold: Mutex::default(),
+            warm: Mutex::default(),
             retries: Mutex::default(),
             strikes: Mutex::new(strike::Table::new(strike::Limits {
                 upstreams: STRIKES,
@@ -143,7 +149,7 @@
             })),
             meter: measure::Meter::new(),
             pool: connection::Pool::default(),
-            restored_by: Mutex::default(),
+            outage: Mutex::default(),
             changed: Notify::new(),
             moved: Notify::new(),
             urgent: Notify::new(),
@@ -212,6 +218,7 @@
         let (choice, facts) = {
             let health = lock(&self.health);
             let loads = lock(&self.loads);
+            let warm = lock(&self.warm);
             let candidates: Vec<Candidate<'_>> = usable
                 .iter()
                 .zip(&rooms)
@@ -226,6 +233,7 @@
                         losses: health.score(id),
                         cold_room: *room,
                         is_tried: tried.contains(id),
+                        is_warm: warm.holds(now, job.affinity, id),
                     }
                 })
                 .collect();
@@ -240,6 +248,7 @@
                     candidates: candidates.len(),
                     usage: it.usage,
                     is_cold: it.cold_room.is_some(),
+                    is_warm: it.is_warm,
                 }),
                 Choice::Wait | Choice::Nowhere => None,
             };
@@ -261,6 +270,9 @@
         if facts.is_cold {
             lock(&self.cold).record(now, id);
         }
+        if job.route.is_sticky {
+            lock(&self.warm).record(now, job.affinity, id);
+        }
         Placed::At(Lease {
             state: self.clone(),
             known: Arc::clone(known),
@@ -308,6 +320,8 @@
     pub usage: health::Use,
     /// Whether it was cold.
     pub is_cold: bool,
+    /// Whether it held the prompt that the request shares with others.
+    pub is_warm: bool,
 }
 
 /// The outcome of a choice.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -52,8 +52,14 @@
         self.upstreams.len()
     }
 
-    /// Takes in what an item says now.
-    pub fn insert(&mut self, now: boot::Instant, key: &str, entry: Entry) {
+    /// Takes in what an item says now. Returns an upstream that was started anew
+    /// under the name that it had.
+    pub fn insert(
+        &mut self,
+        now: boot::Instant,
+        key: &str,
+        entry: Entry,
+    ) -> Option<ident::Upstream> {
         match entry {
             Entry::Table(table) => {
                 self.table = Some(Arc::new(*table));
@@ -65,25 +71,32 @@
                     upstream,
                     lapses_at: None,
                 };
-                self.upstreams.insert(key.to_owned(), Arc::new(known));
+                let known = Arc::new(known);
+                let old = self.upstreams.insert(key.to_owned(), known.clone());
+                let (old, new) = (&old?.upstream, &known.upstream);
+                let is_same = old.born_ms == new.born_ms && old.address == new.address;
+                return (!is_same).then(|| new.id.clone());
             }
             Entry::Evacuated(zone) => {
                 self.evacuated.insert(key.to_owned(), zone);
             }
         }
+        None
     }
 
     /// Takes in that an item is gone. An upstream stays in use until
     /// `restored_by`, the end of the time in which a lapsed entry may come back.
     /// The last route table stays in force.
-    pub fn remove(&mut self, now: boot::Instant, key: &str, restored_by: Option<boot::Instant>) {
+    pub fn remove(&mut self, now: boot::Instant, key: &str, restored_by: boot::Instant) {
         self.evacuated.remove(key);
-        match (self.upstreams.get_mut(key), restored_by) {
-            (Some(known), Some(by)) if by > now => Arc::make_mut(known).lapses_at = Some(by),
-            (Some(_), _) => {
+        match self.upstreams.get_mut(key) {
+            Some(known) if restored_by > now => {
+                Arc::make_mut(known).lapses_at = Some(restored_by);
+            }
+            Some(_) => {
                 self.upstreams.remove(key);
             }
-            (None, _) => {}
+            None => {}
         }
         self.upstreams
             .retain(|_, known| known.lapses_at.is_none_or(|at| at > now));
--- a/src/mirror/wire.rs
+++ b/src/mirror/wire.rs
@@ -32,6 +32,9 @@
     pub age_ms: u64,
     /// How long the sender waited before it answered, in milliseconds.
     pub waited_ms: u64,
+    /// How much longer lapsed entries may be restored after an outage of the
+    /// store, in milliseconds.
+    pub settling_ms: u64,
     /// What changed.
     pub content: Content,
 }
