Read the store anew when a watch hangs, and judge a zone by its upstreams

A failed watch is now followed by a full read at once. A repeat takes a new connection, so that one which a cut broke isn't counted as a run; a 500 is tried at another upstream; two upstreams of another zone that fail together speak against the rest of it.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -262,6 +262,7 @@
                 if again && trail.runs < job.route.attempts && may_retry(state, job) {
                     info!(id = job.id, %upstream, status = parts.status.as_u16(),
                         "request: failed, trying another upstream");
+                    trail.tried.push(upstream);
                     fallback = Some((parts, body));
                     continue;
                 }
@@ -507,7 +508,7 @@
 ) -> Result<Answer, Loss> {
     let names = &state.names;
     let upstream = &lease.known.upstream;
-    let is_fresh = !job.route.kind.is_repeatable();
+    let is_fresh = !job.route.kind.is_repeatable() || trail.sends > 0;
     let connection = state.pool.take(upstream.address, is_fresh).await;
     let mut connection = connection.map_err(Loss::Unsent)?;
     let sent = Instant::now();
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -36,13 +36,13 @@
 
 /// The longest that a watch on the store waits; it bounds the age of what is
 /// known, which operators bound to some seconds.
-const WATCH: Duration = Duration::from_millis(2_000);
+const WATCH: Duration = Duration::from_millis(1_500);
 
 /// How long an answer of the store may take beyond the wait asked for.
-const STORE_PATIENCE: Duration = Duration::from_millis(800);
+const STORE_PATIENCE: Duration = Duration::from_millis(400);
 
 /// The longest that a full read of the store may take.
-const LIST_PATIENCE: Duration = Duration::from_millis(3_000);
+const LIST_PATIENCE: Duration = Duration::from_millis(1_200);
 
 /// The longest that a follower asks to wait.
 const FOLLOW: Duration = Duration::from_millis(1_500);
@@ -191,8 +191,14 @@
                     warn!(%fault, revision, "store: lost");
                 }
                 self.failures = self.failures.saturating_add(1);
-                follow_any(state).await;
-                tokio::time::sleep(RETRY_PAUSE).await;
+                // A watch may hang while reads are answered, and a read tells at
+                // once how things stand.
+                let is_first = !self.is_behind;
+                self.is_behind = true;
+                if !is_first {
+                    follow_any(state).await;
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
             }
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 //! 9. `strikes`: requests that crashed upstreams
 //! 10. `meter`: counters and histograms, and the connections' own
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -32,6 +33,7 @@
 use crate::gateway::cold;
 use crate::gateway::connection;
 use crate::gateway::health;
+use crate::gateway::health::Use;
 use crate::gateway::job::Job;
 use crate::gateway::load;
 use crate::gateway::measure;
@@ -54,6 +56,10 @@
 /// Upstreams lost with a request before it is refused: users allow three.
 const STRIKES: usize = 3;
 
+/// Upstreams of another zone that failed a moment ago from which on the whole
+/// zone counts as cut off.
+const ZONE_FAILURES: usize = 2;
+
 /// How long strikes are kept.
 const STRIKES_FOR: Duration = Duration::from_secs(60);
 
@@ -219,6 +225,21 @@
             let health = lock(&self.health);
             let loads = lock(&self.loads);
             let warm = lock(&self.warm);
+            let mut failed: BTreeMap<&ident::Zone, usize> = BTreeMap::new();
+            for known in &usable {
+                if health.failed_lately(now, &known.upstream.id) {
+                    *failed.entry(&known.upstream.zone).or_default() += 1;
+                }
+            }
+            let own = &self.options.host.zone;
+            let usage = |known: &Known| {
+                let zone = &known.upstream.zone;
+                let failures = failed.get(zone).copied().unwrap_or_default();
+                match health.usage(now, &known.upstream.id) {
+                    Use::Good if zone != own && failures >= ZONE_FAILURES => Use::Trial,
+                    usage => usage,
+                }
+            };
             let candidates: Vec<Candidate<'_>> = usable
                 .iter()
                 .zip(&rooms)
@@ -229,7 +250,7 @@
                         load: loads.total(id),
                         slots: known.upstream.slots,
                         is_near: known.upstream.zone == self.options.host.zone,
-                        usage: health.usage(now, id),
+                        usage: usage(known),
                         losses: health.score(id),
                         cold_room: *room,
                         is_tried: tried.contains(id),
@@ -263,7 +284,7 @@
             return Placed::Nowhere;
         };
         let id = &known.upstream.id;
-        if facts.usage == health::Use::Trial {
+        if facts.usage == Use::Trial {
             lock(&self.health).begin_trial(now, id);
         }
         lock(&self.loads).begin(id);
