Leave with no connection left, and cap engines by what a prompt costs to read again

It now closes its listener and waits for all connections. Placements of a new prompt are told at once.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -189,7 +189,7 @@
         host,
         method: parts.method,
         headers: job::forwardable(names, &parts.headers),
-        affinity: job::affinity(&(names.parts)(&parts.headers), &path),
+        prompt: job::prompt(&(names.parts)(&parts.headers), &path),
         uri: parts.uri,
         body,
         fingerprint,
@@ -362,7 +362,7 @@
         let upstream = lease.known.upstream.id.clone();
         let now = Instant::now();
         let facts = lease.facts;
-        info!(id = job.id, %upstream, load = facts.load, candidates = facts.candidates,
+        info!(id = job.id, %upstream, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = facts.load, candidates = facts.candidates,
             usage = %facts.usage, cold = facts.is_cold, warm = facts.is_warm, last_event,
             waited_ms = now.duration_since(job.arrived).as_millis(), "request: sent");
         match exchange(state, job, trail, lease, last_event).await {
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -26,7 +26,7 @@
 /// Results in a row that reset the pause.
 const RESET_ANSWERS: u32 = 8;
 
-/// How long failures of several upstreams of a zone speak against the others.
+/// How long upstreams of a zone that can't be reached speak against the others.
 const ZONE_MEMORY: Duration = Duration::from_millis(1_500);
 
 /// How an upstream may be used.
@@ -61,7 +61,7 @@
     trial_since: Option<Instant>,
     answers: u32,
     answered_at: Option<Instant>,
-    lost_at: Option<Instant>,
+    unreached_at: Option<Instant>,
 }
 
 impl Default for Entry {
@@ -73,7 +73,7 @@
             trial_since: None,
             answers: 0,
             answered_at: None,
-            lost_at: None,
+            unreached_at: None,
         }
     }
 }
@@ -103,14 +103,14 @@
         self.entries.get(upstream).map_or(0.0, |entry| entry.score)
     }
 
-    /// Tells whether an upstream failed a moment ago and has not answered since.
-    pub fn failed_lately(&self, now: Instant, upstream: &ident::Upstream) -> bool {
+    /// Tells whether an upstream couldn't be reached a moment ago and has not
+    /// answered since.
+    pub fn was_unreached(&self, now: Instant, upstream: &ident::Upstream) -> bool {
         let entry = self.entries.get(upstream);
         entry.is_some_and(|entry| {
-            let lost = entry
-                .lost_at
-                .filter(|at| now.duration_since(*at) < ZONE_MEMORY);
-            lost.is_some_and(|lost| entry.answered_at.is_none_or(|answered| answered <= lost))
+            let failed = entry.unreached_at;
+            let failed = failed.filter(|at| now.duration_since(*at) < ZONE_MEMORY);
+            failed.is_some_and(|at| entry.answered_at.is_none_or(|answered| answered <= at))
         })
     }
 
@@ -140,7 +140,9 @@
             Sign::Lost | Sign::Unreached => {
                 entry.score += (1.0 - entry.score) * GAIN;
                 entry.answers = 0;
-                entry.lost_at = Some(now);
+                if sign == Sign::Unreached {
+                    entry.unreached_at = Some(now);
+                }
                 let is_suspect = sign == Sign::Unreached || entry.score >= SUSPECT_SCORE;
                 if is_suspect && !was_suspect {
                     entry.suspect_until = Some(now + entry.pause);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::names::Names;
 use crate::gateway::names::Part;
+use crate::gateway::place::Prompt;
 use crate::gateway::table::Route;
 use crate::gateway::table::Workspace;
 use crate::ident;
@@ -55,8 +56,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
-    /// Names the prompt that it shares with others.
-    pub affinity: u64,
+    /// The prompt that it shares with others.
+    pub prompt: Prompt,
     /// The same for the same request of the same caller.
     pub fingerprint: u64,
     /// When its headers had arrived.
@@ -143,18 +144,22 @@
     headers
 }
 
-/// Returns the key of the prompt that a request shares with others: all parts
-/// but the last, which belongs to the request itself. Without parts the path
-/// stands for it.
-pub fn affinity(parts: &[Part], path: &str) -> u64 {
+/// Returns the prompt that a request shares with others: all parts but the last,
+/// which belongs to the request itself. Without parts the path stands for it.
+pub fn prompt(parts: &[Part], path: &str) -> Prompt {
     let shared = match parts {
-        [] => return xxh3_64(path.as_bytes()),
+        [] => {
+            let key = xxh3_64(path.as_bytes());
+            return Prompt { key, tokens: 0 };
+        }
         [only] => std::slice::from_ref(only),
         [shared @ .., _] => shared,
     };
-    shared.iter().fold(0, |key, part| {
-        xxh3_64_with_seed(&part.id.to_le_bytes(), key)
-    })
+    let key = |key, part: &Part| xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+    Prompt {
+        key: shared.iter().fold(0, key),
+        tokens: shared.iter().map(|part| part.tokens).sum(),
+    }
 }
 
 /// Returns the fingerprint of a request: the same when its caller repeats it.
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -28,16 +28,23 @@
 /// The pause after a failure to accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts callers until the process stops.
+/// Accepts callers until the host leaves. Those that had connected by then are
+/// still served.
 pub async fn run(state: Arc<State>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
-            () = state.stop.cancelled() => return,
+            biased;
             accepted = listener.accept() => accepted,
+            () = state.closing.cancelled() => return,
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve(state.clone(), stream));
+                let open = Open::new(&state);
+                let state = state.clone();
+                tokio::spawn(async move {
+                    serve(state, stream).await;
+                    drop(open);
+                });
             }
             Err(error) => {
                 warn!(%error, "callers: can't accept a connection");
@@ -84,6 +91,26 @@
     drop(ended);
 }
 
+/// Counts a connection until this is dropped.
+struct Open {
+    state: Arc<State>,
+}
+
+impl Open {
+    fn new(state: &Arc<State>) -> Self {
+        state.connections.fetch_add(1, Ordering::Relaxed);
+        Self {
+            state: state.clone(),
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.state.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request as under way until its answer was handed over.
 struct Active {
     state: Arc<State>,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -21,7 +21,7 @@
 const SPOKEN_TO_FOR: Duration = Duration::from_secs(120);
 
 /// The addresses told in one message.
-const TOLD: usize = 12;
+const TOLD: usize = 3;
 
 /// A host as others tell of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,18 +4,27 @@
 use crate::ident;
 use crate::policy::rank;
 
-/// The multiple of the mean load up to which an engine gets requests whose prompt
-/// it holds. Answers one prompt that much of the traffic shares: users allow
-/// twice the mean.
-const WARM_MULTIPLE: f64 = 1.9;
+/// How loaded an engine may be for a request to go to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Cap {
+    /// The multiple of the mean load.
+    multiple: f64,
+    /// Requests beyond that, for calm days on which the mean is small.
+    floor: f64,
+}
 
-/// Requests beyond that multiple that an engine takes in any case. Answers a calm
-/// day, on which the mean is a few requests.
-const WARM_FLOOR: f64 = 2.0;
+/// Caps for engines that hold the prompt, by its length in tokens from which on
+/// they hold, longest first. Users allow twice the mean and three. Answers one
+/// prompt that much of the traffic shares: what is dear to read again stays, what
+/// is cheap makes room for it.
+const WARM: [(u64, Cap); 3] = [
+    (4_096, cap(2.0, 2.5)),
+    (1_024, cap(1.8, 2.0)),
+    (0, cap(1.5, 1.5)),
+];
 
-/// The same for prompts that the engine doesn't hold: these fill up the others.
-const FRESH_MULTIPLE: f64 = 1.25;
-const FRESH_FLOOR: f64 = 1.0;
+/// The cap for engines that don't hold the prompt.
+const FRESH: Cap = cap(1.4, 1.5);
 
 /// Engines in the caller's zone from which on prompts stay in the zone: with
 /// fewer, reading each prompt once a zone costs more than bytes between zones.
@@ -47,6 +56,19 @@
     pub is_warm: bool,
 }
 
+const fn cap(multiple: f64, floor: f64) -> Cap {
+    Cap { multiple, floor }
+}
+
+/// The prompt that a request shares with others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Names it.
+    pub key: u64,
+    /// Its length, in tokens.
+    pub tokens: u64,
+}
+
 /// What to do with a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -58,10 +80,10 @@
     Nowhere,
 }
 
-/// Chooses an engine for a request whose prompt begins with what `key` names:
-/// the least loaded that holds it, or else the first in the prompt's order that
+/// Chooses an engine for a request whose prompt begins with a shared one: the
+/// least loaded that holds it, or else the first in the prompt's order that
 /// isn't overloaded.
-pub fn engine(key: u64, candidates: &[Candidate<'_>], may_try: bool) -> Choice {
+pub fn engine(prompt: Prompt, candidates: &[Candidate<'_>], may_try: bool) -> Choice {
     let open = match open(candidates, may_try) {
         Ok(open) => open,
         Err(choice) => return choice,
@@ -73,16 +95,18 @@
     };
     let total: u32 = pool.iter().map(|(_, it)| it.load).sum();
     let mean = f64::from(total) / pool.len().max(1) as f64;
-    let has_room = |it: &Candidate<'_>, most: f64| f64::from(it.load) < most && it.load < it.slots;
+    let has_room = |it: &Candidate<'_>, cap: Cap| {
+        f64::from(it.load) < mean * cap.multiple + cap.floor && it.load < it.slots
+    };
+    let holds = WARM.iter().find(|(tokens, _)| prompt.tokens >= *tokens);
+    let kept = holds.map_or(FRESH, |(_, cap)| *cap);
     let warm = pool
         .iter()
-        .filter(|(_, it)| it.is_warm && has_room(it, mean * WARM_MULTIPLE + WARM_FLOOR));
-    let fresh = pool
-        .iter()
-        .filter(|(_, it)| has_room(it, mean * FRESH_MULTIPLE + FRESH_FLOOR));
+        .filter(|(_, it)| it.is_warm && has_room(it, kept));
+    let fresh = pool.iter().filter(|(_, it)| has_room(it, FRESH));
     let best = fresh.max_by(|(_, a), (_, b)| {
-        let a = rank::score(key, a.id, 1.0);
-        let b = rank::score(key, b.id, 1.0);
+        let a = rank::score(prompt.key, a.id, 1.0);
+        let b = rank::score(prompt.key, b.id, 1.0);
         a.total_cmp(&b)
     });
     let least = || open.iter().min_by_key(|(_, it)| it.load);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -97,13 +97,15 @@
 pub async fn drain(state: &Arc<State>) -> usize {
     let began = Instant::now();
     let active = || state.active.load(Ordering::Relaxed);
+    let connections = || state.connections.load(Ordering::Relaxed);
     info!(active = active(), "gateway: leaving");
     state.draining.cancel();
     state.urgent.notify_one();
     tokio::time::sleep(LINGER).await;
     state.closing.cancel();
     let grace = state.options.gateway.grace.saturating_sub(GRACE_MARGIN);
-    while active() > 0 && began.elapsed() < grace {
+    // A new connection may carry a request that wasn't read yet.
+    while connections() > 0 && began.elapsed() < grace {
         tokio::time::sleep(DRAIN_LOOK).await;
     }
     // The last bytes of answers leave before the process does.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -56,8 +56,8 @@
 /// Upstreams lost with a request before it is refused: users allow three.
 const STRIKES: usize = 3;
 
-/// Upstreams of another zone that failed a moment ago from which on the whole
-/// zone counts as cut off.
+/// Upstreams of another zone that couldn't be reached a moment ago from which on
+/// the whole zone counts as cut off.
 const ZONE_FAILURES: usize = 2;
 
 /// How long strikes are kept.
@@ -110,6 +110,8 @@
     pub urgent: Notify,
     /// Requests of callers under way.
     pub active: AtomicUsize,
+    /// Connections of callers.
+    pub connections: AtomicUsize,
     /// Cancelled when a shutdown begins.
     pub draining: CancellationToken,
     /// Cancelled when idle connections of callers are to be closed.
@@ -160,6 +162,7 @@
             moved: Notify::new(),
             urgent: Notify::new(),
             active: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
             stop: CancellationToken::new(),
@@ -227,7 +230,7 @@
             let warm = lock(&self.warm);
             let mut failed: BTreeMap<&ident::Zone, usize> = BTreeMap::new();
             for known in &usable {
-                if health.failed_lately(now, &known.upstream.id) {
+                if health.was_unreached(now, &known.upstream.id) {
                     *failed.entry(&known.upstream.zone).or_default() += 1;
                 }
             }
@@ -254,13 +257,13 @@
                         losses: health.score(id),
                         cold_room: *room,
                         is_tried: tried.contains(id),
-                        is_warm: warm.holds(now, job.affinity, id),
+                        is_warm: warm.holds(now, job.prompt.key, id),
                     }
                 })
                 .collect();
             let may_try = job.route.kind.is_repeatable();
             let choice = match job.route.is_sticky {
-                true => place::engine(job.affinity, &candidates, may_try),
+                true => place::engine(job.prompt, &candidates, may_try),
                 false => place::plain(self.draw(), &candidates, may_try),
             };
             let facts = match choice {
@@ -292,7 +295,10 @@
             lock(&self.cold).record(now, id);
         }
         if job.route.is_sticky {
-            lock(&self.warm).record(now, job.affinity, id);
+            let is_news = lock(&self.warm).record(now, job.prompt.key, id);
+            if is_news {
+                self.urgent.notify_one();
+            }
         }
         Placed::At(Lease {
             state: self.clone(),
--- a/src/gateway/warm.rs
+++ b/src/gateway/warm.rs
@@ -36,8 +36,10 @@
         used.is_some_and(|at| now.duration_since(*at) < KEPT_FOR)
     }
 
-    /// Records that this host sent a prompt to an upstream.
-    pub fn record(&mut self, now: Instant, prompt: u64, upstream: &ident::Upstream) {
+    /// Records that this host sent a prompt to an upstream, and tells whether the
+    /// upstream wasn't known to hold it.
+    pub fn record(&mut self, now: Instant, prompt: u64, upstream: &ident::Upstream) -> bool {
+        let is_new = !self.holds(now, prompt, upstream);
         self.learn(now, prompt, upstream);
         let is_told = self
             .news
@@ -46,6 +48,7 @@
         if !is_told && self.news.len() < NEWS {
             self.news.push((prompt, upstream.clone()));
         }
+        is_new
     }
 
     /// Takes in that another host sent a prompt to an upstream.
--- a/src/options/constants.rs
+++ b/src/options/constants.rs
@@ -89,7 +89,7 @@
 /// The port for datagrams between gateways.
 pub const GATEWAY_GOSSIP_PORT: u16 = 7401;
 /// The least time between two messages of a gateway to other hosts.
-pub const GATEWAY_GOSSIP_PAUSE: Duration = Duration::from_millis(200);
+pub const GATEWAY_GOSSIP_PAUSE: Duration = Duration::from_millis(120);
 /// How long a key may still be used after it was taken away.
 pub const GATEWAY_REVOCATION: Duration = Duration::from_secs(5);
 /// Time for a request to get from its caller to an upstream.
