--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,5 +1,6 @@
 //! A caller's request, checked and ready to be sent.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -71,13 +72,15 @@
 impl Job {
     /// Returns the request for an upstream.
     ///
-    /// It names the upstream that is meant and the time left; a stream goes on
-    /// after `last_event`.
+    /// It names the upstream that is meant, the time left, and the engine that
+    /// holds the prompt if the upstream should copy it from there; a stream goes
+    /// on after `last_event`.
     pub fn request(
         &self,
         names: &Names,
         now: Instant,
         upstream: &ident::Upstream,
+        holder: Option<SocketAddr>,
         last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -97,6 +100,9 @@
         if let Some(workspace) = &self.workspace {
             set(&names.workspace, workspace.name.as_str());
         }
+        if let Some(holder) = holder {
+            set(&names.fetch, &holder.to_string());
+        }
         if let Some(last) = last_event {
             set(&names.last_event, &last.to_string());
         }
--- a/src/gateway/names.rs
+++ b/src/gateway/names.rs
@@ -33,6 +33,8 @@
     pub last_event: HeaderName,
     /// Tells the upstream how urgent the request is.
     pub priority: HeaderName,
+    /// Tells an engine which other engine holds the prompt, as an address.
+    pub fetch: HeaderName,
     /// Headers of callers that go no further, as only the fleet may set them.
     pub reserved: Vec<HeaderName>,
     /// Reads the parts of a request's prompt, in order.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -294,6 +295,10 @@
         if facts.is_cold {
             lock(&self.cold).record(now, id);
         }
+        let holder = match job.route.is_sticky && !facts.is_warm {
+            true => self.holder(now, &view, job, id),
+            false => None,
+        };
         if job.route.is_sticky {
             let is_news = lock(&self.warm).record(now, job.prompt.key, id);
             if is_news {
@@ -303,10 +308,32 @@
         Placed::At(Lease {
             state: self.clone(),
             known: Arc::clone(known),
+            holder,
             facts,
         })
     }
 
+    /// Returns another engine that holds the prompt of a request, one that leaves
+    /// before others: its prompts are lost with it.
+    fn holder(
+        &self,
+        now: Instant,
+        view: &View,
+        job: &Job,
+        upstream: &ident::Upstream,
+    ) -> Option<SocketAddr> {
+        let health = lock(&self.health);
+        let warm = lock(&self.warm);
+        let holders = warm
+            .holders(now, job.prompt.key)
+            .filter(|it| *it != upstream);
+        let sound = holders.filter(|it| health.usage(now, it) == Use::Good);
+        let listed = sound.filter_map(|it| view.upstream(it));
+        let listed = listed.filter(|known| known.lapses_at.is_none());
+        let best = listed.max_by_key(|known| known.upstream.is_draining);
+        best.map(|known| known.upstream.address)
+    }
+
     fn cold_room(
         &self,
         now: Instant,
@@ -366,6 +393,8 @@
     state: Arc<State>,
     /// The upstream.
     pub known: Arc<Known>,
+    /// Another engine from which it can copy the prompt.
+    pub holder: Option<SocketAddr>,
     /// What spoke for it.
     pub facts: Facts,
 }
--- a/src/gateway/warm.rs
+++ b/src/gateway/warm.rs
@@ -36,6 +36,13 @@
         used.is_some_and(|at| now.duration_since(*at) < KEPT_FOR)
     }
 
+    /// Returns the upstreams that hold a prompt, as far as is known.
+    pub fn holders(&self, now: Instant, prompt: u64) -> impl Iterator<Item = &ident::Upstream> {
+        let holders = self.prompts.get(&prompt).into_iter().flatten();
+        let fresh = holders.filter(move |(_, at)| now.duration_since(**at) < KEPT_FOR);
+        fresh.map(|(upstream, _)| upstream)
+    }
+
     /// Records that this host sent a prompt to an upstream, and tells whether the
     /// upstream wasn't known to hold it.
     pub fn record(&mut self, now: Instant, prompt: u64, upstream: &ident::Upstream) -> bool {
