--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -181,6 +181,7 @@
         );
         return Err(Refusal::not_run(Code::CrashedRepeatedly).after(left));
     }
+    let (prompt, beginnings) = job::prompt(&(names.parts)(&parts.headers), &path);
     Ok(Job {
         id: id.to_owned(),
         service,
@@ -189,7 +190,8 @@
         host,
         method: parts.method,
         headers: job::forwardable(names, &parts.headers),
-        prompt: job::prompt(&(names.parts)(&parts.headers), &path),
+        prompt,
+        beginnings,
         uri: parts.uri,
         body,
         fingerprint,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -59,6 +59,8 @@
     pub body: Bytes,
     /// The prompt that it shares with others.
     pub prompt: Prompt,
+    /// The keys of all beginnings of that prompt, longest first.
+    pub beginnings: Vec<u64>,
     /// The same for the same request of the same caller.
     pub fingerprint: u64,
     /// When its headers had arrived.
@@ -150,22 +152,28 @@
     headers
 }
 
-/// Returns the prompt that a request shares with others: all parts but the last,
-/// which belongs to the request itself. Without parts the path stands for it.
-pub fn prompt(parts: &[Part], path: &str) -> Prompt {
+/// Returns the prompt that a request shares with others, and the keys of its
+/// beginnings, longest first: all parts but the last, which belongs to the request
+/// itself. Without parts the path stands for it.
+pub fn prompt(parts: &[Part], path: &str) -> (Prompt, Vec<u64>) {
     let shared = match parts {
-        [] => {
-            let key = xxh3_64(path.as_bytes());
-            return Prompt { key, tokens: 0 };
-        }
+        [] => &[],
         [only] => std::slice::from_ref(only),
         [shared @ .., _] => shared,
     };
-    let key = |key, part: &Part| xxh3_64_with_seed(&part.id.to_le_bytes(), key);
-    Prompt {
-        key: shared.iter().fold(0, key),
+    let mut key = 0;
+    let keys = shared.iter().map(|part| {
+        key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+        key
+    });
+    let mut beginnings: Vec<u64> = keys.collect();
+    beginnings.reverse();
+    let whole = beginnings.first().copied();
+    let prompt = Prompt {
+        key: whole.unwrap_or_else(|| xxh3_64(path.as_bytes())),
         tokens: shared.iter().map(|part| part.tokens).sum(),
-    }
+    };
+    (prompt, beginnings)
 }
 
 /// Returns the fingerprint of a request: the same when its caller repeats it.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -300,7 +300,10 @@
             false => None,
         };
         if job.route.is_sticky {
-            let is_news = lock(&self.warm).record(now, job.prompt.key, id);
+            let mut warm = lock(&self.warm);
+            let news = job.beginnings.iter().map(|key| warm.record(now, *key, id));
+            let is_news = news.fold(false, |any, is_new| any || is_new);
+            drop(warm);
             if is_news {
                 self.urgent.notify_one();
             }
@@ -313,8 +316,8 @@
         })
     }
 
-    /// Returns another engine that holds the prompt of a request, one that leaves
-    /// before others: its prompts are lost with it.
+    /// Returns another engine that holds more of a request's prompt than the
+    /// upstream does, one that leaves before others: its prompts are lost with it.
     fn holder(
         &self,
         now: Instant,
@@ -324,14 +327,16 @@
     ) -> Option<SocketAddr> {
         let health = lock(&self.health);
         let warm = lock(&self.warm);
-        let holders = warm
-            .holders(now, job.prompt.key)
-            .filter(|it| *it != upstream);
-        let sound = holders.filter(|it| health.usage(now, it) == Use::Good);
-        let listed = sound.filter_map(|it| view.upstream(it));
-        let listed = listed.filter(|known| known.lapses_at.is_none());
-        let best = listed.max_by_key(|known| known.upstream.is_draining);
-        best.map(|known| known.upstream.address)
+        let missing = job.beginnings.iter();
+        let mut missing = missing.take_while(|key| !warm.holds(now, **key, upstream));
+        missing.find_map(|key| {
+            let holders = warm.holders(now, *key).filter(|it| *it != upstream);
+            let sound = holders.filter(|it| health.usage(now, it) == Use::Good);
+            let listed = sound.filter_map(|it| view.upstream(it));
+            let listed = listed.filter(|known| known.lapses_at.is_none());
+            let best = listed.max_by_key(|known| known.upstream.is_draining);
+            best.map(|known| known.upstream.address)
+        })
     }
 
     fn cold_room(
