--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -28,7 +28,7 @@
 
 /// The longest that a connection may take to be established. A first packet that
 /// was lost is sent again after a second, too late to wait for.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The longest that a connection is kept without a request. Upstreams close idle
 /// ones after a time of their own.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -26,9 +26,10 @@
 /// The cap for engines that don't hold the prompt.
 const FRESH: Cap = cap(1.4, 1.5);
 
-/// Engines in the caller's zone from which on prompts stay in the zone: with
-/// fewer, reading each prompt once a zone costs more than bytes between zones.
-const NEAR_ENGINES: usize = 16;
+/// Prompts shorter than this, in tokens, stay in the caller's zone: a copy for each
+/// zone costs less than bytes between zones, and what runs in the zone outlives a
+/// cut between zones.
+const NEAR_TOKENS: u64 = 1_024;
 
 /// The part of a plain upstream's slots up to which the caller's zone goes first.
 const NEAR_LOAD: f64 = 0.7;
@@ -88,30 +89,36 @@
         Ok(open) => open,
         Err(choice) => return choice,
     };
-    let near = open.iter().filter(|(_, it)| it.is_near).count();
-    let pool: Vec<&(usize, &Candidate<'_>)> = match near >= NEAR_ENGINES {
-        true => open.iter().filter(|(_, it)| it.is_near).collect(),
-        false => open.iter().collect(),
-    };
-    let total: u32 = pool.iter().map(|(_, it)| it.load).sum();
-    let mean = f64::from(total) / pool.len().max(1) as f64;
+    let total: u32 = open.iter().map(|(_, it)| it.load).sum();
+    let mean = f64::from(total) / open.len().max(1) as f64;
     let has_room = |it: &Candidate<'_>, cap: Cap| {
         f64::from(it.load) < mean * cap.multiple + cap.floor && it.load < it.slots
     };
     let holds = WARM.iter().find(|(tokens, _)| prompt.tokens >= *tokens);
     let kept = holds.map_or(FRESH, |(_, cap)| *cap);
-    let warm = pool
-        .iter()
-        .filter(|(_, it)| it.is_warm && has_room(it, kept));
-    let fresh = pool.iter().filter(|(_, it)| has_room(it, FRESH));
-    let best = fresh.max_by(|(_, a), (_, b)| {
-        let a = rank::score(prompt.key, a.id, 1.0);
-        let b = rank::score(prompt.key, b.id, 1.0);
-        a.total_cmp(&b)
-    });
-    let least = || open.iter().min_by_key(|(_, it)| it.load);
-    let warm = warm.min_by_key(|(_, it)| it.load);
-    match warm.or(best).copied().or_else(least) {
+    let is_near = |it: &Candidate<'_>| it.is_near;
+    let is_any = |_: &Candidate<'_>| true;
+    let warm = |fits: &dyn Fn(&Candidate<'_>) -> bool| {
+        let pool = open.iter().filter(|(_, it)| fits(it) && it.is_warm);
+        let roomy = pool.filter(|(_, it)| has_room(it, kept));
+        roomy.min_by_key(|(_, it)| (!it.is_near, it.load))
+    };
+    let fresh = |fits: &dyn Fn(&Candidate<'_>) -> bool| {
+        let pool = open.iter().filter(|(_, it)| fits(it));
+        let roomy = pool.filter(|(_, it)| has_room(it, FRESH));
+        roomy.max_by(|(_, a), (_, b)| {
+            let a = rank::score(prompt.key, a.id, 1.0);
+            let b = rank::score(prompt.key, b.id, 1.0);
+            a.total_cmp(&b)
+        })
+    };
+    let least = open.iter().min_by_key(|(_, it)| it.load);
+    let near = match prompt.tokens < NEAR_TOKENS {
+        true => warm(&is_near).or_else(|| fresh(&is_near)),
+        false => None,
+    };
+    let far = || warm(&is_any).or_else(|| fresh(&is_any));
+    match near.or_else(far).or(least) {
         Some((index, it)) if it.load < it.slots.saturating_mul(2) => Choice::Send(*index),
         Some(_) => Choice::Wait,
         None => Choice::Nowhere,
