Follow hosts that know more, and move slow requests only to a place that is there

Hosts tell their revision and age; one that lags asks the host that knows most; leaders are the hosts with the fastest links, replies are compressed.

--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -121,6 +121,9 @@
     #[doc = "The time from the signal to leave until the process is killed."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub grace_ms: ::std::option::Option<u64>,
+    #[doc = "The speed of this host's link, in Mbit/s."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub link_mbps: ::std::option::Option<f64>,
     #[doc = "The path at which the balancer asks whether the host is ready."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub ready_path: ::std::option::Option<::std::string::String>,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -98,7 +98,6 @@
 }
 
 /// How a send failed.
-#[derive(Debug)]
 enum Loss {
     /// No byte left, or could have been read.
     Unsent(Fault),
@@ -106,6 +105,8 @@
     Rejected(http::StatusCode),
     /// It may have run.
     Unknown(Code),
+    /// It took long, and a place elsewhere was taken for it.
+    Moved(Lease),
 }
 
 /// Serves a request of a caller.
@@ -247,7 +248,10 @@
     let mut trail = Trail::default();
     let mut fallback: Option<(Parts, Bytes)> = None;
     loop {
-        let answer = match (obtain(state, job, &mut trail, None).await, fallback.take()) {
+        let answer = match (
+            obtain(state, job, &mut trail, None, None).await,
+            fallback.take(),
+        ) {
             (Ok(answer), kept) => {
                 fallback = kept;
                 answer
@@ -256,8 +260,7 @@
             (Err(refusal), None) => return Err(refusal),
         };
         let upstream = answer.lease.known.upstream.id.clone();
-        let limit = try_limit(job, &trail, answer.sent);
-        match collect(state, job, answer, limit).await {
+        match collect(state, job, answer).await {
             Ok((parts, body)) => {
                 let failed = parts.status.is_server_error();
                 let again = failed && job.route.kind.is_repeatable() && fallback.is_none();
@@ -325,7 +328,6 @@
     state: &Arc<State>,
     job: &Job,
     answer: Answer,
-    limit: Instant,
 ) -> Result<(Parts, Bytes), Code> {
     let Answer {
         parts,
@@ -335,7 +337,7 @@
         sent: _,
     } = answer;
     let body = Limited::new(body, HELD_BYTES.max(job.body.len())).collect();
-    let body = match timeout_at(limit, body).await {
+    let body = match timeout_at(job.deadline, body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Code::AnswerTooLarge),
         Ok(Err(_)) => return Err(Code::AnswerCut),
@@ -352,14 +354,20 @@
 }
 
 /// Sends a request until an upstream begins to answer it.
+///
+/// `next` is a place that was taken for it already.
 pub async fn obtain(
     state: &Arc<State>,
     job: &Job,
     trail: &mut Trail,
+    mut next: Option<Lease>,
     last_event: Option<u64>,
 ) -> Result<Answer, Refusal> {
     loop {
-        let lease = place(state, job, trail).await?;
+        let lease = match next.take() {
+            Some(lease) => lease,
+            None => place(state, job, trail).await?,
+        };
         recheck(state, job, trail)?;
         let upstream = lease.known.upstream.id.clone();
         let now = Instant::now();
@@ -390,10 +398,44 @@
                 }
             }
             Err(Loss::Unknown(code)) => lost(state, job, trail, &upstream, code)?,
+            Err(Loss::Moved(lease)) => {
+                moved(state, job, trail, &upstream, Code::FirstByteTimeout);
+                next = Some(lease);
+            }
         }
     }
 }
 
+/// Records that a request was taken away from an upstream that was slow.
+pub fn moved(state: &State, job: &Job, trail: &mut Trail, upstream: &ident::Upstream, code: Code) {
+    info!(id = job.id, %upstream, %code, sends = trail.sends, "request: moved");
+    state.meter.lost(code);
+    note(state, upstream, Sign::Lost);
+    trail.tried.push(upstream.clone());
+}
+
+/// Takes a place elsewhere for a request that waits for a slow upstream, if there
+/// is one and the request may be sent again. Until then it stays where it is.
+pub fn reserve(
+    state: &Arc<State>,
+    job: &Job,
+    trail: &Trail,
+    upstream: &ident::Upstream,
+) -> Option<Lease> {
+    let repeatable = job.route.kind.is_repeatable() && trail.runs < job.route.attempts;
+    let is_late = Instant::now() >= job.deadline;
+    if !repeatable || is_late || recheck(state, job, trail).is_err() {
+        return None;
+    }
+    let mut tried = trail.tried.clone();
+    tried.push(upstream.clone());
+    let lease = match state.choose(job, &tried) {
+        Placed::At(lease) if !tried.contains(&lease.known.upstream.id) => lease,
+        Placed::At(_) | Placed::Wait | Placed::Nowhere => return None,
+    };
+    may_retry(state, job).then_some(lease)
+}
+
 /// Records that an upstream was lost with a request that may have run, and
 /// decides whether the request may be sent again.
 pub fn lost(
@@ -519,7 +561,20 @@
     trail.sends += 1;
     trail.runs += 1;
     let limit = try_limit(job, trail, sent);
-    let response = match timeout_at(limit, connection.send(request)).await {
+    let answer = {
+        let mut sending = std::pin::pin!(connection.send(request));
+        match timeout_at(limit, &mut sending).await {
+            Ok(answer) => Ok(answer),
+            Err(elapsed) if limit >= job.deadline => Err(elapsed),
+            Err(_) => {
+                if let Some(lease) = reserve(state, job, trail, &upstream.id) {
+                    return Err(Loss::Moved(lease));
+                }
+                timeout_at(job.deadline, sending).await
+            }
+        }
+    };
+    let response = match answer {
         Ok(Ok(response)) => response,
         Ok(Err(Fault::Broken(error))) => {
             info!(id = job.id, upstream = %upstream.id, %error, "request: connection broke");
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -2,6 +2,7 @@
 //! upstreams, which hold which prompt, which were lost, which requests crash
 //! them.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -36,7 +37,7 @@
 const MESSAGES_PER_SECOND: f64 = 60.0;
 
 /// Messages to other zones are this many times as seldom in a large fleet.
-const FAR_TURNS: u64 = 5;
+const FAR_TURNS: usize = 5;
 
 /// Hosts from which on other zones are told more seldom.
 const LARGE_FLEET: usize = 16;
@@ -52,7 +53,8 @@
     zone: ident::Zone,
     is_leaving: bool,
     revision: u64,
-    is_fresh: bool,
+    age_ms: Option<u64>,
+    link_mbps: u32,
     loads: Vec<(ident::Upstream, u32)>,
     suspects: Vec<(ident::Upstream, u64)>,
     strikes: Vec<Strike>,
@@ -64,7 +66,7 @@
 pub async fn run(state: Arc<State>, socket: UdpSocket) {
     let mut buffer = vec![0; 64 * 1024];
     let mut next = Instant::now();
-    let mut turn = 0_u64;
+    let mut turn = Turn::default();
     loop {
         tokio::select! {
             () = state.stop.cancelled() => return,
@@ -76,8 +78,7 @@
                 Err(error) => warn!(%error, "peers: can't receive"),
             },
             () = tokio::time::sleep_until(next) => {
-                let count = tell(&state, &socket, turn).await;
-                turn += 1;
+                let count = tell(&state, &socket, &mut turn).await;
                 next = Instant::now() + pause(&state, count);
             }
             () = state.urgent.notified() => {
@@ -94,47 +95,80 @@
 }
 
 /// Tells all hosts of this zone, and those of other zones if it is their turn.
-async fn tell(state: &State, socket: &UdpSocket, turn: u64) -> usize {
+async fn tell(state: &State, socket: &UdpSocket, turn: &mut Turn) -> usize {
     let now = Instant::now();
     lock(&state.loads).expire(now);
     let targets = lock(&state.peers).targets(now);
     let is_large = targets.len() >= LARGE_FLEET;
     let own = &state.options.host.zone;
     let near = |zone: &Option<ident::Zone>| zone.as_ref() == Some(own);
+    let news = lock(&state.warm).take_news();
+    let all = turn.next(news.clone());
+    let (near, far): (Vec<_>, Vec<_>) = targets.iter().partition(|(_, zone)| near(zone));
     // Each host of another zone is told in a turn of its own.
-    let is_due = |index: usize, zone: &Option<ident::Zone>| {
-        near(zone) || !is_large || (index as u64 + turn).is_multiple_of(FAR_TURNS)
+    let far = far.into_iter().enumerate();
+    let far = far.filter(|(index, _)| !is_large || turn.is_due(*index));
+    let far: Vec<_> = far.map(|(_, target)| target).collect();
+    let count = near.len() + far.len();
+    let far_news = match is_large {
+        true => all,
+        false => news.clone(),
     };
-    let due = targets.iter().enumerate();
-    let due = due.filter(|(index, (_, zone))| is_due(*index, zone));
-    let due: Vec<IpAddr> = due.map(|(_, (address, _))| IpAddr::V4(*address)).collect();
-    let Some(bytes) = message(state, now) else {
-        return due.len();
-    };
-    for address in &due {
-        let to = SocketAddr::new(*address, state.options.gateway.gossip_port);
-        // A full link or a host that is down loses the message, as on the way.
-        if let Err(error) = socket.send_to(&bytes, to).await
-            && error.kind() != io::ErrorKind::ConnectionRefused
-        {
-            warn!(%error, %to, "peers: can't send");
+    for (targets, news) in [(near, news), (far, far_news)] {
+        if targets.is_empty() {
+            continue;
+        }
+        let Some(bytes) = message(state, now, news) else {
+            return count;
+        };
+        for (address, _) in targets {
+            let to = SocketAddr::new((*address).into(), state.options.gateway.gossip_port);
+            // A full link or a host that is down loses the message, as on the way.
+            if let Err(error) = socket.send_to(&bytes, to).await
+                && error.kind() != io::ErrorKind::ConnectionRefused
+            {
+                warn!(%error, %to, "peers: can't send");
+            }
+        }
+    }
+    count
+}
+
+type News = Vec<(u64, ident::Upstream)>;
+
+/// Which hosts of other zones are told, and what they weren't told yet.
+#[derive(Debug, Default)]
+struct Turn {
+    number: usize,
+    news: VecDeque<News>,
+}
+
+impl Turn {
+    /// Begins a turn with what is new, and returns the news of a whole round.
+    fn next(&mut self, news: News) -> News {
+        self.number = self.number.wrapping_add(1);
+        self.news.push_back(news);
+        if self.news.len() > FAR_TURNS {
+            self.news.pop_front();
         }
+        self.news.iter().flatten().cloned().collect()
+    }
+
+    fn is_due(&self, index: usize) -> bool {
+        (index + self.number).is_multiple_of(FAR_TURNS)
     }
-    due.len()
 }
 
-fn message(state: &State, now: Instant) -> Option<Vec<u8>> {
+fn message(state: &State, now: Instant, prompts: Vec<(u64, ident::Upstream)>) -> Option<Vec<u8>> {
     let boot = boot::Instant::now();
-    let (revision, is_fresh) = {
-        let revision = lock(&state.mirror).revision();
-        (revision, state.vouches_for_keys(boot))
+    let (revision, age) = {
+        let mirror = lock(&state.mirror);
+        (mirror.revision(), mirror.age(boot))
     };
     let contacts = lock(&state.peers).contacts(now);
     let suspects = lock(&state.health).suspects(now);
-    let suspects = suspects.into_iter().map(|(upstream, left)| {
-        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-        (upstream, left)
-    });
+    let suspects = suspects.into_iter();
+    let suspects = suspects.map(|(upstream, left)| (upstream, millis(left)));
     let loads = lock(&state.loads).counts().clone();
     let mut strikes = lock(&state.strikes).strikes(now);
     strikes.truncate(STRIKES);
@@ -144,11 +178,12 @@
         zone: state.options.host.zone.clone(),
         is_leaving: state.draining.is_cancelled(),
         revision,
-        is_fresh,
+        age_ms: age.map(millis),
+        link_mbps: state.options.gateway.link_mbps,
         loads: loads.into_iter().collect(),
         suspects: suspects.collect(),
         strikes,
-        prompts: lock(&state.warm).take_news(),
+        prompts,
         contacts,
     };
     loop {
@@ -171,6 +206,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn hear(state: &State, from: SocketAddr, bytes: &[u8]) {
     let IpAddr::V4(address) = from.ip() else {
         return;
@@ -188,8 +227,12 @@
         process: message.process,
         is_leaving: message.is_leaving,
         revision: message.revision,
-        is_fresh: message.is_fresh,
+        age: message.age_ms.map(Duration::from_millis),
+        link_mbps: message.link_mbps,
     };
+    if message.revision > lock(&state.mirror).revision() {
+        state.behind.notify_one();
+    }
     {
         let mut peers = lock(&state.peers);
         if peers.hear(now, address, word) {
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -136,7 +136,7 @@
             },
         }
     };
-    match rmp_serde::to_vec(&reply) {
+    match reply.encode() {
         Ok(bytes) => respond(StatusCode::OK, bytes),
         Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,12 @@
 /// The addresses told in one message.
 const TOLD: usize = 3;
 
+/// The same while hosts still find each other.
+const TOLD_EARLY: usize = 16;
+
+/// How long hosts find each other after a start.
+const EARLY: Duration = Duration::from_secs(8);
+
 /// A host as others tell of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
@@ -49,8 +55,18 @@
     pub is_leaving: bool,
     /// The revision of the store that it holds.
     pub revision: u64,
-    /// Whether it could vouch for what it holds when it was heard.
-    pub is_fresh: bool,
+    /// The age of what it holds when it was heard, if it holds anything.
+    pub age: Option<Duration>,
+    /// The speed of its link, in Mbit/s.
+    pub link_mbps: u32,
+}
+
+impl Peer {
+    /// Returns the age of what it holds now, at the most.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let heard = self.heard?;
+        self.age.map(|age| age + now.duration_since(heard))
+    }
 }
 
 /// What a message says of its sender.
@@ -64,8 +80,10 @@
     pub is_leaving: bool,
     /// The revision of the store that it holds.
     pub revision: u64,
-    /// Whether it can vouch for what it holds.
-    pub is_fresh: bool,
+    /// The age of what it holds, if it holds anything.
+    pub age: Option<Duration>,
+    /// The speed of its link, in Mbit/s.
+    pub link_mbps: u32,
 }
 
 /// The other hosts, by address.
@@ -75,6 +93,7 @@
     seeds: Vec<Ipv4Addr>,
     peers: BTreeMap<Ipv4Addr, Peer>,
     turn: usize,
+    began: Option<Instant>,
 }
 
 impl Table {
@@ -86,6 +105,7 @@
             seeds,
             peers: BTreeMap::new(),
             turn: 0,
+            began: None,
         }
     }
 
@@ -100,7 +120,8 @@
             seen: now,
             is_leaving: word.is_leaving,
             revision: word.revision,
-            is_fresh: word.is_fresh,
+            age: word.age,
+            link_mbps: word.link_mbps,
         };
         self.peers.insert(address, peer);
         is_new
@@ -121,7 +142,8 @@
             seen,
             is_leaving: false,
             revision: 0,
-            is_fresh: false,
+            age: None,
+            link_mbps: 0,
         });
         peer.seen = peer.seen.max(seen);
     }
@@ -163,8 +185,13 @@
     pub fn contacts(&mut self, now: Instant) -> Vec<Contact> {
         let count = self.peers.len();
         let skip = self.turn % count.max(1);
-        self.turn = self.turn.wrapping_add(TOLD);
-        let peers = self.peers.iter().cycle().skip(skip).take(count.min(TOLD));
+        let began = *self.began.get_or_insert(now);
+        let told = match now.duration_since(began) < EARLY {
+            true => TOLD_EARLY,
+            false => TOLD,
+        };
+        self.turn = self.turn.wrapping_add(told);
+        let peers = self.peers.iter().cycle().skip(skip).take(count.min(told));
         let contacts = peers.map(|(address, peer)| {
             let silent = now.duration_since(peer.seen).as_millis();
             Contact {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -31,6 +31,14 @@
 /// cut between zones.
 const NEAR_TOKENS: u64 = 1_024;
 
+/// Engines in the caller's zone from which on all prompts stay there.
+const NEAR_ENGINES: usize = 16;
+
+/// Requests at a plain upstream, in its slots, up to which it gets more: what
+/// waits there starts sooner than what waits here, and counts of other hosts are
+/// older than a request takes.
+const PLAIN_LOAD: u32 = 3;
+
 /// The part of a plain upstream's slots up to which the caller's zone goes first.
 const NEAR_LOAD: f64 = 0.7;
 
@@ -113,7 +121,8 @@
         })
     };
     let least = open.iter().min_by_key(|(_, it)| it.load);
-    let near = match prompt.tokens < NEAR_TOKENS {
+    let near = open.iter().filter(|(_, it)| it.is_near).count();
+    let near = match prompt.tokens < NEAR_TOKENS || near >= NEAR_ENGINES {
         true => warm(&is_near).or_else(|| fresh(&is_near)),
         false => None,
     };
@@ -142,7 +151,7 @@
     };
     let near = turned().filter(|(_, it)| it.is_near && cost(it) < NEAR_LOAD);
     match near.min_by(least).or_else(|| turned().min_by(least)) {
-        Some((index, it)) if it.load < it.slots => Choice::Send(*index),
+        Some((index, it)) if it.load < it.slots.saturating_mul(PLAIN_LOAD) => Choice::Send(*index),
         Some(_) => Choice::Wait,
         None => Choice::Nowhere,
     }
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -42,10 +42,10 @@
 const STORE_PATIENCE: Duration = Duration::from_millis(400);
 
 /// The longest that a full read of the store may take.
-const LIST_PATIENCE: Duration = Duration::from_millis(1_200);
+const LIST_PATIENCE: Duration = Duration::from_millis(3_000);
 
 /// The longest that a follower asks to wait.
-const FOLLOW: Duration = Duration::from_millis(1_500);
+const FOLLOW: Duration = Duration::from_millis(1_000);
 
 /// How long an answer to a follower may take beyond the wait asked for.
 const FOLLOW_PATIENCE: Duration = Duration::from_millis(400);
@@ -53,8 +53,21 @@
 /// Hosts up to which all read the store.
 const SMALL_FLEET: usize = 16;
 
+/// The age of what a host holds from which on it isn't followed.
+const STALE: Duration = Duration::from_millis(2_200);
+
+/// Time between two looks whether this host fell behind others.
+const CATCH_UP: Duration = Duration::from_millis(300);
+
+/// How long a host that heard of a later revision waits for it on its usual way.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(150);
+
+/// The least time between two watches in a large fleet: many changes come in
+/// quick succession, and each call has its price.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+
 /// Hosts of each zone that read the store in a larger fleet.
-const READERS: usize = 2;
+const READERS: usize = 1;
 
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -81,8 +94,10 @@
     Refused(http::StatusCode),
     #[error("question can't be encoded: {0}")]
     Encode(#[from] rmp_serde::encode::Error),
-    #[error("answer can't be decoded: {0}")]
-    Decode(#[from] rmp_serde::decode::Error),
+    #[error("answer {0}")]
+    Form(#[from] wire::Fault),
+    #[error("what it holds is {0:?} old")]
+    Stale(Duration),
 }
 
 /// Whether the store was away, as entries of live upstreams lapse meanwhile.
@@ -139,21 +154,56 @@
     }
 }
 
+/// Follows other hosts while this one lags behind them, whatever its usual way
+/// does, until the process stops.
+pub async fn catch_up(state: Arc<State>) {
+    loop {
+        let heard = tokio::select! {
+            () = state.stop.cancelled() => return,
+            () = state.behind.notified() => true,
+            () = tokio::time::sleep(CATCH_UP) => false,
+        };
+        if heard {
+            tokio::time::sleep(CATCH_UP_PAUSE).await;
+        }
+        let now = Instant::now();
+        let revision = lock(&state.mirror).revision();
+        let is_behind = lock(&state.peers)
+            .live(now)
+            .any(|(_, peer)| peer.revision > revision);
+        let is_old = state
+            .age(boot::Instant::now())
+            .is_none_or(|age| age > STALE);
+        if is_behind || is_old {
+            follow_any(&state).await;
+        }
+    }
+}
+
+/// Tells whether the fleet is large, so that only some hosts read the store.
+fn is_large(state: &State) -> bool {
+    lock(&state.peers).sharing(Instant::now()) > SMALL_FLEET
+}
+
 /// Tells whether this host reads the store itself.
 fn reads_store(state: &State) -> bool {
-    let now = Instant::now();
-    let peers = lock(&state.peers);
-    if peers.sharing(now) <= SMALL_FLEET {
+    if !is_large(state) {
         return true;
     }
-    let score = |address: &Ipv4Addr| xxh3_64(&address.octets());
-    let own = score(&state.address);
+    let now = Instant::now();
+    let own = rank(state.options.gateway.link_mbps, &state.address);
     let zone = &state.options.host.zone;
+    let peers = lock(&state.peers);
     let near = peers.live(now).filter(|(_, peer)| peer.zone == *zone);
-    let before = near.filter(|(address, _)| score(address) > own);
+    let before = near.filter(|(address, peer)| rank(peer.link_mbps, address) > own);
     before.count() < READERS
 }
 
+/// Orders the hosts of a zone: those with the fastest links read the store.
+fn rank(link_mbps: u32, address: &Ipv4Addr) -> (u32, u64) {
+    (link_mbps, xxh3_64(&address.octets()))
+}
+
 /// Reading the store itself.
 #[derive(Debug, Default)]
 struct Store {
@@ -172,6 +222,9 @@
         };
         match result {
             Ok(()) => {
+                if is_large(state) {
+                    tokio::time::sleep(WATCH_PAUSE).await;
+                }
                 state.meter.read("ok");
                 if self.failures > 0 {
                     info!(failures = self.failures, "store: regained");
@@ -219,6 +272,12 @@
     let read = timeout(limit, (state.source.watch)(revision, WATCH)).await;
     let delta = read.unwrap_or(Err(Fault::Silent(limit)))?;
     regained(state);
+    // The store waited that long before it found nothing.
+    let now = boot::Instant::now();
+    let as_of = match delta.events.is_empty() && now.since(as_of) >= WATCH {
+        true => as_of + WATCH,
+        false => as_of,
+    };
     adopt(state, as_of, |mirror| {
         mirror.apply(delta.events, delta.revision, as_of)
     });
@@ -241,44 +300,37 @@
     let zone = state.options.host.zone.clone();
     let leader = {
         let peers = lock(&state.peers);
-        let near = peers.live(now);
-        let near = near.filter(|(_, peer)| peer.zone == zone && peer.is_fresh);
-        let mut near: Vec<Ipv4Addr> = near.map(|(address, _)| *address).collect();
-        near.sort_by_key(|address| std::cmp::Reverse(xxh3_64(&address.octets())));
-        near.truncate(READERS);
-        let index = state.process % near.len().max(1) as u64;
-        near.get(usize::try_from(index).unwrap_or_default())
-            .copied()
+        let near = peers.live(now).filter(|(_, peer)| peer.zone == zone);
+        let leader = near.max_by_key(|(address, peer)| rank(peer.link_mbps, address));
+        leader.map(|(address, _)| *address)
     };
-    match leader {
-        Some(leader) => {
-            if let Err(lost) = follow(state, leader, FOLLOW).await {
-                info!(%leader, %lost, "peers: can't follow");
-                store.step(state).await;
-            }
-        }
-        None => store.step(state).await,
+    let followed = match leader {
+        Some(leader) => follow(state, leader, FOLLOW).await,
+        None => Err(Lost::Refused(http::StatusCode::SERVICE_UNAVAILABLE)),
+    };
+    if let Err(lost) = followed {
+        info!(leader = leader.map(|it| it.to_string()), %lost, "peers: can't follow");
+        store.is_behind = true;
+        store.step(state).await;
     }
 }
 
-/// Asks one host that can vouch for what it holds, this zone's hosts first.
+/// Asks the host that knows most, as far as it was heard, this zone's first.
 async fn follow_any(state: &Arc<State>) {
     let now = Instant::now();
-    let zone = state.options.host.zone.clone();
-    let draw = state.draw();
+    let zone = &state.options.host.zone;
+    let own = lock(&state.mirror).revision();
     let leader = {
         let peers = lock(&state.peers);
-        let fresh = peers.live(now).filter(|(_, peer)| peer.is_fresh);
-        let fresh: Vec<(bool, Ipv4Addr)> = fresh
-            .map(|(address, peer)| (peer.zone == zone, *address))
-            .collect();
-        let near: Vec<_> = fresh.iter().filter(|(near, _)| *near).collect();
-        let pool = match near.is_empty() {
-            true => fresh.iter().collect(),
-            false => near,
-        };
-        let index = (draw * pool.len() as f64) as usize;
-        pool.get(index).map(|(_, address)| *address)
+        let live = peers.live(now).filter_map(|(address, peer)| {
+            let age = peer.age(now)?;
+            let is_useful = age < STALE || peer.revision > own;
+            is_useful.then_some((address, peer, age))
+        });
+        let best = live.max_by_key(|(_, peer, age)| {
+            (peer.revision, peer.zone == *zone, std::cmp::Reverse(*age))
+        });
+        best.map(|(address, _, _)| *address)
     };
     if let Some(leader) = leader
         && let Err(lost) = follow(state, leader, Duration::ZERO).await
@@ -307,7 +359,10 @@
         Content::Changes(events) => mirror.apply(events, reply.revision, as_of),
         Content::Whole(items) => mirror.replace(items, reply.revision, as_of),
     });
-    Ok(())
+    match age > STALE {
+        true => Err(Lost::Stale(age)),
+        false => Ok(()),
+    }
 }
 
 async fn ask(address: SocketAddr, after: u64, wait: Duration) -> Result<wire::Reply, Lost> {
@@ -336,7 +391,7 @@
             return Err(Lost::Refused(http::StatusCode::SERVICE_UNAVAILABLE));
         }
     };
-    Ok(rmp_serde::from_slice(&bytes)?)
+    Ok(wire::Reply::decode(&bytes)?)
 }
 
 /// Changes the mirror and then the view.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -89,6 +89,7 @@
     tokio::spawn(operator::run(state.clone(), peers));
     tokio::spawn(gossip::run(state.clone(), socket));
     tokio::spawn(reader::run(state.clone()));
+    tokio::spawn(reader::catch_up(state.clone()));
     tokio::spawn(sweep(state.clone()));
     Ok(())
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -107,6 +107,8 @@
     pub changed: Notify,
     /// Notified when the mirror moved on.
     pub moved: Notify,
+    /// Notified when another host holds a later revision of the store.
+    pub behind: Notify,
     /// Notified when other hosts should hear of something at once.
     pub urgent: Notify,
     /// Requests of callers under way.
@@ -161,6 +163,7 @@
             outage: Mutex::default(),
             changed: Notify::new(),
             moved: Notify::new(),
+            behind: Notify::new(),
             urgent: Notify::new(),
             active: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -23,7 +23,9 @@
 use crate::gateway::forward::Trail;
 use crate::gateway::health::Sign;
 use crate::gateway::job::Job;
+use crate::gateway::state::Lease;
 use crate::gateway::state::State;
+use crate::ident;
 use crate::lock::lock;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
@@ -57,6 +59,8 @@
     /// Whether the answer is a later run that may repeat events.
     is_resumed: bool,
     events: u64,
+    /// How many pauses the upstream may take before others are looked at.
+    patience: u32,
     is_over: bool,
     first_after: Duration,
     longest_pause: Duration,
@@ -69,11 +73,10 @@
 /// before can still be refused.
 pub async fn run(state: &Arc<State>, job: Arc<Job>) -> Result<Response<Payload>, Refusal> {
     let mut trail = Trail::default();
-    let answer = forward::obtain(state, &job, &mut trail, None).await?;
+    let answer = forward::obtain(state, &job, &mut trail, None, None).await?;
     if !answer.parts.status.is_success() {
-        let limit = job.deadline;
         let upstream = answer.lease.known.upstream.id.clone();
-        return match forward::collect(state, &job, answer, limit).await {
+        return match forward::collect(state, &job, answer).await {
             Ok((parts, body)) => Ok(forward::whole(state, &job, &trail, parts, body)),
             Err(code) => {
                 forward::lost(state, &job, &mut trail, &upstream, code)?;
@@ -91,6 +94,7 @@
         splitter: Splitter::default(),
         is_resumed: false,
         events: 0,
+        patience: 1,
         is_over: false,
         first_after: Duration::ZERO,
         longest_pause: Duration::ZERO,
@@ -141,7 +145,15 @@
                 Err(_) if Instant::now() >= self.job.deadline => {
                     return Some(Err(self.cut(Code::StreamTimeout)));
                 }
-                Err(_) => Code::StreamTimeout,
+                Err(_) => {
+                    self.look_again();
+                    if let Some(lease) = self.reserve()
+                        && let Err(cut) = self.go_on(lease).await
+                    {
+                        return Some(Err(cut));
+                    }
+                    continue;
+                }
             };
             if let Err(cut) = self.resume(code).await {
                 return Some(Err(cut));
@@ -173,6 +185,7 @@
                 }
             }
             self.passed_at = now;
+            self.patience = 1;
         }
         Ok(events.freeze())
     }
@@ -198,6 +211,32 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
+    /// Waits another pause for a slow upstream before it looks elsewhere again.
+    fn look_again(&mut self) {
+        self.patience += 1;
+    }
+
+    /// Takes a place elsewhere while the upstream is slow, if there is one.
+    fn reserve(&self) -> Option<Lease> {
+        let upstream = &self.answer.as_ref()?.lease.known.upstream.id;
+        forward::reserve(&self.state, &self.job, &self.trail, upstream)
+    }
+
+    /// Leaves a slow upstream for a place elsewhere.
+    async fn go_on(&mut self, lease: Lease) -> Result<(), Cut> {
+        // The connection closes here, so that no two runs go on at once.
+        let code = Code::StreamTimeout;
+        let Some(upstream) = self
+            .answer
+            .take()
+            .map(|it| it.lease.known.upstream.id.clone())
+        else {
+            return Err(self.cut(code));
+        };
+        forward::moved(&self.state, &self.job, &mut self.trail, &upstream, code);
+        self.follow(&upstream, Some(lease)).await
+    }
+
     /// Goes on at another upstream after the last event that was passed on.
     async fn resume(&mut self, code: Code) -> Result<(), Cut> {
         // The connection closes here, so that no two runs go on at once.
@@ -212,11 +251,16 @@
         if again.is_err() {
             return Err(self.cut(code));
         }
+        self.follow(&upstream, None).await
+    }
+
+    async fn follow(&mut self, upstream: &ident::Upstream, next: Option<Lease>) -> Result<(), Cut> {
         // Bytes of an event that broke off never mix with those of the next run.
         self.splitter = Splitter::default();
         self.is_resumed = true;
+        self.patience = 1;
         let (state, job) = (self.state.clone(), self.job.clone());
-        let answer = forward::obtain(&state, &job, &mut self.trail, self.last).await;
+        let answer = forward::obtain(&state, &job, &mut self.trail, next, self.last).await;
         match answer {
             Ok(answer) if answer.parts.status.is_success() => {
                 info!(id = self.job.id, from = %upstream,
@@ -250,7 +294,7 @@
             .as_ref()
             .map_or(self.passed_at, |answer| answer.sent);
         let limit = match self.events {
-            0 => sent + job.route.objective,
+            0 => sent + job.route.objective * self.patience,
             _ => {
                 let pause = job.route.pause.unwrap_or(PAUSE);
                 // A later run reads the prompt again before it goes on.
@@ -259,7 +303,7 @@
                     true => job.route.objective,
                     false => pause,
                 };
-                from + pause.mul_f64(PATIENCE)
+                from + pause.mul_f64(PATIENCE) * self.patience
             }
         };
         limit.min(job.deadline)
--- a/src/mirror/wire.rs
+++ b/src/mirror/wire.rs
@@ -14,6 +14,20 @@
 /// The path of operators' figures, as text.
 pub const METRICS_PATH: &str = "/metrics";
 
+/// Why a reply can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// It can't be encoded.
+    #[error("can't be encoded: {0}")]
+    Encode(#[from] rmp_serde::encode::Error),
+    /// It can't be unpacked.
+    #[error("can't be unpacked: {0}")]
+    Unpack(#[from] lz4_flex::block::DecompressError),
+    /// It can't be decoded.
+    #[error("can't be decoded: {0}")]
+    Decode(#[from] rmp_serde::decode::Error),
+}
+
 /// Asks for what changed after a revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
@@ -39,6 +53,20 @@
     pub content: Content,
 }
 
+impl Reply {
+    /// Encodes a reply, compressed: hosts with slow links follow too.
+    pub fn encode(&self) -> Result<Vec<u8>, Fault> {
+        let bytes = rmp_serde::to_vec(self)?;
+        Ok(lz4_flex::compress_prepend_size(&bytes))
+    }
+
+    /// Decodes a reply.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Fault> {
+        let bytes = lz4_flex::decompress_size_prepended(bytes)?;
+        Ok(rmp_serde::from_slice(&bytes)?)
+    }
+}
+
 /// What changed since the follower's revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Content {
--- a/src/options/constants.rs
+++ b/src/options/constants.rs
@@ -92,8 +92,9 @@
 pub const GATEWAY_GOSSIP_PAUSE: Duration = Duration::from_millis(120);
 /// How long a key may still be used after it was taken away.
 pub const GATEWAY_REVOCATION: Duration = Duration::from_secs(5);
-/// Time for a request to get from its caller to an upstream.
-pub const GATEWAY_REVOCATION_MARGIN: Duration = Duration::from_millis(300);
+/// Time for a request to get from its caller to an upstream, and for changes that
+/// a watch may miss.
+pub const GATEWAY_REVOCATION_MARGIN: Duration = Duration::from_millis(1_300);
 /// Time from the signal to leave until a gateway is killed.
 pub const GATEWAY_GRACE: Duration = Duration::from_secs(8);
 /// Retries for each request to a service.
@@ -106,3 +107,5 @@
 pub const GATEWAY_COLD_OVERAGE: f64 = 1.0;
 /// Starts a second that a cold upstream bears beyond that.
 pub const GATEWAY_COLD_SLACK: f64 = 0.0;
+/// The speed of a host's link, in Mbit/s.
+pub const GATEWAY_LINK_MBPS: u32 = 1_000;
--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -30,11 +30,15 @@
     pub cold_overage: f64,
     /// Starts a second that a cold upstream bears beyond that.
     pub cold_slack: f64,
+    /// The speed of this host's link, in Mbit/s: hosts with fast ones pass on what
+    /// the store holds.
+    pub link_mbps: u32,
 }
 
 impl Gateway {
     /// Returns the oldest that knowledge of keys may be: less than the bound, as
-    /// a request takes a moment from its caller to the upstream.
+    /// a watch may miss changes for a second, and a request takes a moment from
+    /// its caller to the upstream.
     pub fn key_age(&self) -> Duration {
         self.revocation
             .saturating_sub(constants::GATEWAY_REVOCATION_MARGIN)
@@ -63,6 +67,7 @@
             retry_window: constants::GATEWAY_RETRY_WINDOW,
             cold_overage: constants::GATEWAY_COLD_OVERAGE,
             cold_slack: constants::GATEWAY_COLD_SLACK,
+            link_mbps: constants::GATEWAY_LINK_MBPS,
         }
     }
 }
@@ -83,6 +88,7 @@
             retry_window: duration(from.retry_window_ms, usual.retry_window),
             cold_overage: from.cold_overage.unwrap_or(usual.cold_overage),
             cold_slack: from.cold_slack.unwrap_or(usual.cold_slack),
+            link_mbps: from.link_mbps.map_or(usual.link_mbps, |speed| speed as u32),
         }
     }
 }
