--- /dev/null
+++ b/tests/gateway_place.rs
@@ -0,0 +1,180 @@
+//! Which upstream a gateway chooses.
+
+use masticmoor::gateway::health::Use;
+use masticmoor::gateway::place;
+use masticmoor::gateway::place::Candidate;
+use masticmoor::gateway::place::Choice;
+use masticmoor::gateway::place::Prompt;
+use masticmoor::ident::Upstream;
+use rstest::rstest;
+
+const LONG: u64 = 10_000;
+const SHORT: u64 = 500;
+
+fn ids(count: usize) -> Vec<Upstream> {
+    (0..count)
+        .map(|number| format!("u{number}").as_str().into())
+        .collect()
+}
+
+fn candidates(ids: &[Upstream]) -> Vec<Candidate<'_>> {
+    let candidates = ids.iter().map(|id| Candidate {
+        id,
+        load: 0,
+        slots: 64,
+        is_near: true,
+        usage: Use::Good,
+        losses: 0.0,
+        cold_room: None,
+        is_tried: false,
+        is_warm: false,
+    });
+    candidates.collect()
+}
+
+fn engine(key: u64, tokens: u64, candidates: &[Candidate<'_>]) -> Choice {
+    place::engine(Prompt { key, tokens }, candidates, true)
+}
+
+#[test]
+fn a_prompt_goes_to_the_same_engine_at_every_host() {
+    let ids = ids(9);
+    let mut reversed = candidates(&ids);
+    reversed.reverse();
+    for key in 0..200 {
+        let Choice::Send(one) = engine(key, LONG, &candidates(&ids)) else {
+            panic!("no engine for {key}");
+        };
+        let Choice::Send(other) = engine(key, LONG, &reversed) else {
+            panic!("no engine for {key}");
+        };
+        assert_eq!(ids[one], *reversed[other].id);
+    }
+}
+
+#[test]
+fn a_long_prompt_stays_where_it_was_read_and_a_short_one_makes_room() {
+    let ids = ids(9);
+    let mut all = candidates(&ids);
+    for candidate in &mut all {
+        candidate.load = 4;
+    }
+    all[3].is_warm = true;
+    all[3].load = 9;
+    assert_eq!(engine(7, LONG, &all), Choice::Send(3));
+    let short = engine(7, SHORT, &all);
+    assert!(matches!(short, Choice::Send(at) if at != 3), "{short:?}");
+}
+
+#[test]
+fn no_engine_gets_more_than_users_allow_over_the_mean() {
+    // One prompt is nearly all of the traffic, as when a door's history is asked
+    // for by everyone.
+    let ids = ids(9);
+    let mut loads = vec![0_u32; ids.len()];
+    let mut warm = vec![false; ids.len()];
+    for _ in 0..200 {
+        let mut all = candidates(&ids);
+        for (at, candidate) in all.iter_mut().enumerate() {
+            candidate.load = loads[at];
+            candidate.is_warm = warm[at];
+        }
+        let mean = f64::from(loads.iter().sum::<u32>()) / ids.len() as f64;
+        let Choice::Send(at) = engine(1, LONG, &all) else {
+            panic!("refused at {loads:?}");
+        };
+        assert!(f64::from(loads[at]) <= 2.0 * mean + 3.0, "{loads:?}");
+        loads[at] += 1;
+        warm[at] = true;
+    }
+}
+
+#[test]
+fn short_prompts_stay_in_the_zone_and_long_ones_go_to_their_reader() {
+    let ids = ids(6);
+    let mut all = candidates(&ids);
+    for far in &mut all[3..] {
+        far.is_near = false;
+        far.is_warm = true;
+    }
+    assert!(matches!(engine(5, SHORT, &all), Choice::Send(at) if at < 3));
+    assert!(matches!(engine(5, LONG, &all), Choice::Send(at) if at >= 3));
+}
+
+#[test]
+fn a_zone_with_many_engines_keeps_long_prompts() {
+    let ids = ids(40);
+    let mut all = candidates(&ids);
+    for far in &mut all[20..] {
+        far.is_near = false;
+        far.is_warm = true;
+    }
+    assert!(matches!(engine(5, LONG, &all), Choice::Send(at) if at < 20));
+}
+
+#[rstest]
+#[case(Use::Suspect, true, false)]
+#[case(Use::Trial, true, true)]
+#[case(Use::Trial, false, false)]
+fn a_suspect_is_tried_by_requests_that_can_be_repeated(
+    #[case] usage: Use,
+    #[case] may_try: bool,
+    #[case] is_chosen: bool,
+) {
+    let ids = ids(1);
+    let mut all = candidates(&ids);
+    all[0].usage = usage;
+    let expected = match is_chosen {
+        true => Choice::Send(0),
+        false => Choice::Wait,
+    };
+    assert_eq!(place::plain(0.0, &all, may_try), expected);
+}
+
+#[test]
+fn a_cold_engine_without_room_gets_nothing() {
+    let ids = ids(2);
+    let mut all = candidates(&ids);
+    all[0].cold_room = Some(0);
+    all[0].is_warm = true;
+    for key in 0..50 {
+        assert_eq!(engine(key, LONG, &all), Choice::Send(1));
+    }
+    all[1].cold_room = Some(0);
+    assert_eq!(engine(1, LONG, &all), Choice::Wait);
+}
+
+#[test]
+fn a_request_goes_back_to_an_upstream_only_if_there_is_no_other() {
+    let ids = ids(2);
+    let mut all = candidates(&ids);
+    all[0].is_tried = true;
+    assert_eq!(place::plain(0.9, &all, true), Choice::Send(1));
+    all[1].usage = Use::Suspect;
+    assert_eq!(place::plain(0.9, &all, true), Choice::Send(0));
+}
+
+#[test]
+fn plain_upstreams_of_the_zone_come_first_until_they_fill_up() {
+    let ids = ids(2);
+    let mut all = candidates(&ids);
+    all[0].slots = 6;
+    all[1].slots = 6;
+    all[1].is_near = false;
+    all[0].load = 4;
+    assert_eq!(place::plain(0.5, &all, true), Choice::Send(0));
+    all[0].load = 5;
+    assert_eq!(place::plain(0.5, &all, true), Choice::Send(1));
+}
+
+#[test]
+fn plain_upstreams_get_no_more_than_their_queues_bear() {
+    let ids = ids(3);
+    let mut all = candidates(&ids);
+    for candidate in &mut all {
+        candidate.slots = 6;
+        candidate.load = 18;
+    }
+    assert_eq!(place::plain(0.5, &all, true), Choice::Wait);
+    assert_eq!(place::plain(0.5, &[], true), Choice::Nowhere);
+}
