Test the gateway over real sockets: at most once, true refusals, whole answers

Scripted upstreams reset, cut, stall, answer another request or say that they ran nothing; the tests look at what callers and upstreams saw.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -75,12 +75,23 @@
     Ok(drain(&state).await)
 }
 
+/// Where a gateway listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bound {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For the balancer and operators.
+    pub operator: SocketAddr,
+    /// For other hosts.
+    pub peer: SocketAddr,
+}
+
 /// Starts the tasks of a gateway.
-pub async fn start(state: &Arc<State>) -> Result<(), Fault> {
+pub async fn start(state: &Arc<State>) -> Result<Bound, Fault> {
     let host = &state.options.host;
-    let callers = listen(host.caller)?;
-    let operators = listen(host.operator)?;
-    let peers = listen(host.peer)?;
+    let (callers, caller) = listen(host.caller)?;
+    let (operators, operator) = listen(host.operator)?;
+    let (peers, peer) = listen(host.peer)?;
     let address = SocketAddr::new(host.caller.ip(), state.options.gateway.gossip_port);
     let socket = UdpSocket::bind(address).await;
     let socket = socket.map_err(|source| Fault::Listen { address, source })?;
@@ -91,7 +102,11 @@
     tokio::spawn(reader::run(state.clone()));
     tokio::spawn(reader::catch_up(state.clone()));
     tokio::spawn(sweep(state.clone()));
-    Ok(())
+    Ok(Bound {
+        caller,
+        operator,
+        peer,
+    })
 }
 
 /// Lets the balancer look elsewhere, ends what is under way, and stops.
@@ -130,7 +145,7 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, Fault> {
+fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), Fault> {
     let open = || {
         let socket = match address {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
@@ -138,7 +153,9 @@
         };
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        socket.listen(BACKLOG)
+        let listener = socket.listen(BACKLOG)?;
+        let bound = listener.local_addr()?;
+        Ok((listener, bound))
     };
     open().map_err(|source| Fault::Listen { address, source })
 }
--- /dev/null
+++ b/tests/gateway_path/host.rs
@@ -0,0 +1,239 @@
+//! A gateway in this process, with a store of a few items.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderName;
+use masticmoor::boot;
+use masticmoor::gateway::State;
+use masticmoor::gateway::names::Names;
+use masticmoor::gateway::serve;
+use masticmoor::gateway::source::Delta;
+use masticmoor::gateway::source::Entry;
+use masticmoor::gateway::source::Fault;
+use masticmoor::gateway::source::Source;
+use masticmoor::gateway::source::Whole;
+use masticmoor::gateway::table;
+use masticmoor::gateway::table::Kind;
+use masticmoor::gateway::table::Table;
+use masticmoor::gateway::upstream::Upstream as Listed;
+use masticmoor::mirror::Item;
+use masticmoor::options::Options;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::PATIENCE;
+use crate::upstream::Upstream;
+
+const SETTINGS: &str = r#"
+[host]
+name = "h1"
+zone = "z1"
+caller = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+operator = "127.0.0.1:0"
+[platform]
+addresses = ["127.0.0.1:1"]
+[gateway]
+revocation_ms = 4000
+"#;
+
+/// Time after which a host without a store can't vouch for keys any longer.
+pub const KEY_AGE: Duration = Duration::from_millis(3_000);
+
+/// A running gateway.
+pub struct Host {
+    /// Where it takes callers.
+    pub caller: SocketAddr,
+    state: Arc<State>,
+    is_silent: Arc<AtomicBool>,
+}
+
+impl Host {
+    /// Starts a gateway with one route of a kind to some upstreams, and waits
+    /// until it is ready.
+    pub async fn start(kind: Kind, upstreams: &[&Upstream]) -> Self {
+        let listed = upstreams.iter().map(|it| (it.id, it.address)).collect();
+        let host = Self::run(Some(kind), listed).await;
+        let ready = async {
+            while !host.is_ready() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, ready).await.unwrap();
+        host
+    }
+
+    /// Starts a gateway whose store holds nothing.
+    pub async fn start_empty() -> Self {
+        Self::run(None, Vec::new()).await
+    }
+
+    async fn run(kind: Option<Kind>, listed: Vec<(&'static str, SocketAddr)>) -> Self {
+        let is_silent = Arc::new(AtomicBool::new(false));
+        let mut options = Options::parse(SETTINGS).unwrap();
+        // Any free port: there are no other hosts.
+        options.gateway.gossip_port = 0;
+        let source = source(kind, listed, is_silent.clone());
+        let random = StdRng::seed_from_u64(1);
+        let state = Arc::new(State::new(options, names(), source, random));
+        let bound = serve::start(&state).await.unwrap();
+        Self {
+            caller: bound.caller,
+            state,
+            is_silent,
+        }
+    }
+
+    /// Tells whether the balancer would send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.state.is_ready(boot::Instant::now())
+    }
+
+    /// Lets no call to the store be answered any more.
+    pub fn silence_store(&self) {
+        self.is_silent.store(true, Ordering::Relaxed);
+    }
+
+    /// Shuts the gateway down, and returns how many requests were cut.
+    pub async fn drain(&self) -> usize {
+        serve::drain(&self.state).await
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.state.stop.cancel();
+    }
+}
+
+fn names() -> Names {
+    let name = HeaderName::from_static;
+    Names {
+        attempt: name("x-attempt"),
+        deadline: name("x-deadline"),
+        key: name("x-key"),
+        workspace: name("x-workspace"),
+        expected: name("x-expected"),
+        not_executed: name("x-not-executed"),
+        receipt: name("x-receipt"),
+        last_event: name("x-last"),
+        priority: name("x-priority"),
+        fetch: name("x-fetch"),
+        reserved: vec![name("x-reserved")],
+        parts: |_| Vec::new(),
+        rank: |priority| priority,
+    }
+}
+
+fn source(
+    kind: Option<Kind>,
+    listed: Vec<(&'static str, SocketAddr)>,
+    is_silent: Arc<AtomicBool>,
+) -> Source {
+    let table = kind.map(|_| ("table".to_owned(), item()));
+    let upstreams = listed.iter().map(|(id, _)| (format!("u/{id}"), item()));
+    let items: BTreeMap<String, Item> = table.into_iter().chain(upstreams).collect();
+    Source {
+        list: Box::new({
+            let is_silent = is_silent.clone();
+            move || {
+                let whole = Whole {
+                    items: items.clone(),
+                    revision: 1,
+                };
+                let is_silent = is_silent.clone();
+                Box::pin(async move {
+                    answer(&is_silent).await;
+                    Ok::<_, Fault>(whole)
+                })
+            }
+        }),
+        watch: Box::new(move |revision, wait| {
+            let is_silent = is_silent.clone();
+            Box::pin(async move {
+                tokio::time::sleep(wait).await;
+                answer(&is_silent).await;
+                Ok(Delta {
+                    events: Vec::new(),
+                    revision,
+                })
+            })
+        }),
+        decode: Box::new(move |key, _| {
+            let upstream = key.strip_prefix("u/");
+            let entry = match (upstream, kind) {
+                (Some(id), _) => {
+                    let found = listed.iter().find(|(name, _)| *name == id);
+                    found.map(|(id, address)| Entry::Upstream(upstream_entry(id, *address)))
+                }
+                (None, Some(kind)) => Some(Entry::Table(Box::new(route_table(kind)))),
+                (None, None) => None,
+            };
+            Ok(entry)
+        }),
+    }
+}
+
+async fn answer(is_silent: &AtomicBool) {
+    if is_silent.load(Ordering::Relaxed) {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn item() -> Item {
+    Item {
+        value: Bytes::new(),
+        revision: 1,
+    }
+}
+
+fn upstream_entry(id: &str, address: SocketAddr) -> Listed {
+    Listed {
+        id: id.into(),
+        service: "desk".into(),
+        address,
+        zone: "z1".into(),
+        slots: 6,
+        is_draining: false,
+        cold_left: Duration::ZERO,
+        born_ms: None,
+    }
+}
+
+fn route_table(kind: Kind) -> Table {
+    let route = table::Route {
+        name: "r1".to_owned(),
+        host: "one.example".to_owned(),
+        prefix: "/a/".to_owned(),
+        kind,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(100),
+        pause: Some(Duration::from_millis(100)),
+        priority: 0,
+        attempts: 2,
+        is_public: false,
+        is_sticky: kind.is_stream(),
+        backends: vec![table::Backend {
+            service: "desk".into(),
+            weight: 1.0,
+        }],
+    };
+    let workspace = table::Workspace {
+        name: "school".into(),
+        priority: None,
+    };
+    let keys = vec![(workspace, vec!["k1".to_owned()])];
+    Table::new(
+        1,
+        table::Limits::default(),
+        vec![route],
+        Vec::new(),
+        Some(keys),
+    )
+}
