--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -31,9 +31,6 @@
 /// cut between zones.
 const NEAR_TOKENS: u64 = 1_024;
 
-/// Engines in the caller's zone from which on all prompts stay there.
-const NEAR_ENGINES: usize = 16;
-
 /// Requests at a plain upstream, in its slots, up to which it gets more: what
 /// waits there starts sooner than what waits here, and counts of other hosts are
 /// older than a request takes.
@@ -121,8 +118,7 @@
         })
     };
     let least = open.iter().min_by_key(|(_, it)| it.load);
-    let near = open.iter().filter(|(_, it)| it.is_near).count();
-    let near = match prompt.tokens < NEAR_TOKENS || near >= NEAR_ENGINES {
+    let near = match prompt.tokens < NEAR_TOKENS {
         true => warm(&is_near).or_else(|| fresh(&is_near)),
         false => None,
     };
