Bound the log, judge upstreams that answer failures, and zones that fall silent

Lines on requests that went well are dropped first; a stopped reader holds nothing up. A stream's 5xx is tried at another engine; an upstream that fails most requests is suspect but better than none; one that can't be reached is not used.

--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -33,7 +33,7 @@
     }
 
     /// Returns the next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn take(&mut self) -> Option<Event> {
         let from = self.searched.saturating_sub(END.len() - 1);
         let unsearched = self.rest.get(from..)?;
         let found = unsearched.windows(END.len()).position(|it| it == END);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -34,6 +34,7 @@
 use crate::gateway::table::Workspace;
 use crate::ident;
 use crate::lock::lock;
+use crate::log::CALM;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
 
@@ -300,7 +301,7 @@
 ) -> Response<Payload> {
     let took = job.arrived.elapsed();
     state.meter.answered(job.route.kind, took);
-    info!(id = job.id, kind = %job.route.kind, status = parts.status.as_u16(),
+    info!(target: CALM, id = job.id, kind = %job.route.kind, status = parts.status.as_u16(),
         sends = trail.sends, after_ms = took.as_millis(), "request: answered");
     let body = Full::from(body).map_err(|never| match never {});
     head(&parts, Payload::new(body))
@@ -346,7 +347,11 @@
     let now = Instant::now();
     state.pool.put(now, connection);
     let id = &lease.known.upstream.id;
-    lock(&state.health).record(now, id, Sign::Answered);
+    let sign = match parts.status.is_server_error() {
+        true => Sign::Failed,
+        false => Sign::Answered,
+    };
+    note(state, id, sign);
     if parts.status.is_success() {
         lock(&state.strikes).absolve(job.fingerprint);
     }
@@ -372,7 +377,7 @@
         let upstream = lease.known.upstream.id.clone();
         let now = Instant::now();
         let facts = lease.facts;
-        info!(id = job.id, %upstream, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = facts.load, candidates = facts.candidates,
+        info!(target: CALM, id = job.id, %upstream, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = facts.load, candidates = facts.candidates,
             usage = %facts.usage, cold = facts.is_cold, warm = facts.is_warm, holder = lease.holder.map(|it| it.to_string()), last_event,
             waited_ms = now.duration_since(job.arrived).as_millis(), "request: sent");
         match exchange(state, job, trail, lease, last_event).await {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -56,7 +56,7 @@
     age_ms: Option<u64>,
     link_mbps: u32,
     loads: Vec<(ident::Upstream, u32)>,
-    suspects: Vec<(ident::Upstream, u64)>,
+    suspects: Vec<(ident::Upstream, u64, bool)>,
     strikes: Vec<Strike>,
     prompts: Vec<(u64, ident::Upstream)>,
     contacts: Vec<Contact>,
@@ -168,7 +168,7 @@
     let contacts = lock(&state.peers).contacts(now);
     let suspects = lock(&state.health).suspects(now);
     let suspects = suspects.into_iter();
-    let suspects = suspects.map(|(upstream, left)| (upstream, millis(left)));
+    let suspects = suspects.map(|(upstream, left, is_down)| (upstream, millis(left), is_down));
     let loads = lock(&state.loads).counts().clone();
     let mut strikes = lock(&state.strikes).strikes(now);
     strikes.truncate(STRIKES);
@@ -244,8 +244,8 @@
     }
     {
         let mut health = lock(&state.health);
-        for (upstream, left) in &message.suspects {
-            health.merge(now, upstream, Duration::from_millis(*left));
+        for (upstream, left, is_down) in &message.suspects {
+            health.merge(now, upstream, Duration::from_millis(*left), *is_down);
         }
     }
     let loads = message.loads.into_iter().collect();
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -14,6 +14,10 @@
 /// The weight of the newest result.
 const GAIN: f64 = 0.25;
 
+/// The weight of an answer that tells of a failure: some requests fail wherever
+/// they run.
+const FAILED_GAIN: f64 = 0.15;
+
 /// The score at which an upstream becomes suspect: two losses in a row.
 const SUSPECT_SCORE: f64 = 0.4;
 
@@ -35,8 +39,10 @@
 pub enum Use {
     /// Like any other.
     Good,
-    /// Not at all, if there are others.
+    /// Only if there are no others: it loses or fails many requests.
     Suspect,
+    /// Not at all: it can't be reached.
+    Down,
     /// For one request that may be repeated, to see whether it is back.
     Trial,
 }
@@ -47,6 +53,8 @@
 pub enum Sign {
     /// It answered.
     Answered,
+    /// It answered that it failed.
+    Failed,
     /// The connection broke or the answer couldn't be used.
     Lost,
     /// It can't be reached at all.
@@ -62,6 +70,8 @@
     answers: u32,
     answered_at: Option<Instant>,
     unreached_at: Option<Instant>,
+    /// Whether it is suspect since it can't be reached.
+    is_unreached: bool,
 }
 
 impl Default for Entry {
@@ -74,6 +84,7 @@
             answers: 0,
             answered_at: None,
             unreached_at: None,
+            is_unreached: false,
         }
     }
 }
@@ -90,10 +101,14 @@
         let Some(entry) = self.entries.get(upstream) else {
             return Use::Good;
         };
+        let unusable = match entry.is_unreached {
+            true => Use::Down,
+            false => Use::Suspect,
+        };
         match (entry.suspect_until, entry.trial_since) {
             (None, _) => Use::Good,
-            (Some(until), _) if until > now => Use::Suspect,
-            (Some(_), Some(since)) if now.duration_since(since) < LONGEST_PAUSE => Use::Suspect,
+            (Some(until), _) if until > now => unusable,
+            (Some(_), Some(since)) if now.duration_since(since) < LONGEST_PAUSE => unusable,
             (Some(_), _) => Use::Trial,
         }
     }
@@ -132,15 +147,21 @@
                 entry.answers += 1;
                 entry.answered_at = Some(now);
                 entry.suspect_until = None;
+                entry.is_unreached = false;
                 if entry.answers >= RESET_ANSWERS {
                     entry.pause = FIRST_PAUSE;
                 }
                 false
             }
-            Sign::Lost | Sign::Unreached => {
-                entry.score += (1.0 - entry.score) * GAIN;
+            Sign::Failed | Sign::Lost | Sign::Unreached => {
+                let gain = match sign {
+                    Sign::Failed => FAILED_GAIN,
+                    Sign::Answered | Sign::Lost | Sign::Unreached => GAIN,
+                };
+                entry.score += (1.0 - entry.score) * gain;
                 entry.answers = 0;
-                if sign == Sign::Unreached {
+                entry.is_unreached = sign == Sign::Unreached;
+                if entry.is_unreached {
                     entry.unreached_at = Some(now);
                 }
                 let is_suspect = sign == Sign::Unreached || entry.score >= SUSPECT_SCORE;
@@ -155,23 +176,31 @@
 
     /// Takes in that another host found an upstream suspect, unless it answered
     /// here a moment ago.
-    pub fn merge(&mut self, now: Instant, upstream: &ident::Upstream, left: Duration) {
+    pub fn merge(
+        &mut self,
+        now: Instant,
+        upstream: &ident::Upstream,
+        left: Duration,
+        is_unreached: bool,
+    ) {
         let entry = self.entries.entry(upstream.clone()).or_default();
         let answered = entry.answered_at;
         let answers_here = answered.is_some_and(|at| now.duration_since(at) < FIRST_PAUSE);
         let until = now + left.min(LONGEST_PAUSE);
         if !answers_here && entry.suspect_until.is_none_or(|known| known < until) {
             entry.suspect_until = Some(until);
+            entry.is_unreached = is_unreached;
         }
     }
 
-    /// Returns the upstreams that are suspect now, with the time left.
-    pub fn suspects(&self, now: Instant) -> Vec<(ident::Upstream, Duration)> {
+    /// Returns the upstreams that are suspect now, with the time left, and whether
+    /// they can't be reached.
+    pub fn suspects(&self, now: Instant) -> Vec<(ident::Upstream, Duration, bool)> {
         let entries = self.entries.iter();
         let suspects = entries.filter_map(|(upstream, entry)| {
             let until = entry.suspect_until.filter(|until| *until > now)?;
             let is_own = entry.score > 0.0;
-            is_own.then(|| (upstream.clone(), until - now))
+            is_own.then(|| (upstream.clone(), until - now, entry.is_unreached))
         });
         suspects.collect()
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -156,6 +156,13 @@
         })
     }
 
+    /// Returns how long no host of a zone was heard; none if none was ever.
+    pub fn silence(&self, now: Instant, zone: &ident::Zone) -> Option<Duration> {
+        let peers = self.peers.values().filter(|peer| peer.zone == *zone);
+        let heard = peers.filter_map(|peer| peer.heard).max();
+        heard.map(|heard| now.duration_since(heard))
+    }
+
     /// Returns how many hosts share the fleet's budgets, this one included.
     pub fn sharing(&self, now: Instant) -> usize {
         let counted = self.peers.values();
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -166,18 +166,18 @@
     let is_good = |it: &Candidate<'_>| match it.usage {
         Use::Good => true,
         Use::Trial => may_try,
-        Use::Suspect => false,
+        Use::Suspect | Use::Down => false,
     };
-    let all = || candidates.iter().enumerate().filter(|(_, it)| bears(it));
-    let good: Vec<_> = all()
-        .filter(|(_, it)| is_good(it) && !it.is_tried)
-        .collect();
-    if !good.is_empty() {
-        return Ok(good);
-    }
-    let tried: Vec<_> = all().filter(|(_, it)| is_good(it)).collect();
-    if !tried.is_empty() {
-        return Ok(tried);
-    }
-    Err(Choice::Wait)
+    let tiers: [&dyn Fn(&Candidate<'_>) -> bool; 4] = [
+        &|it| is_good(it) && !it.is_tried,
+        &is_good,
+        &|it| it.usage == Use::Suspect && !it.is_tried,
+        &|it| it.usage == Use::Suspect,
+    ];
+    let mut pools = tiers.iter().map(|fits| {
+        let all = candidates.iter().enumerate();
+        all.filter(|(_, it)| bears(it) && fits(it)).collect()
+    });
+    let pool = pools.find(|pool: &Vec<_>| !pool.is_empty());
+    pool.ok_or(Choice::Wait)
 }
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -26,6 +26,7 @@
 
 use crate::boot;
 use crate::gateway::connection::harden;
+use crate::gateway::peers;
 use crate::gateway::source::Fault;
 use crate::gateway::state::State;
 use crate::gateway::view;
@@ -181,19 +182,19 @@
 }
 
 /// Tells whether the fleet is large, so that only some hosts read the store.
-fn is_large(state: &State) -> bool {
-    lock(&state.peers).sharing(Instant::now()) > SMALL_FLEET
+pub fn is_large(peers: &peers::Table, now: Instant) -> bool {
+    peers.sharing(now) > SMALL_FLEET
 }
 
 /// Tells whether this host reads the store itself.
 fn reads_store(state: &State) -> bool {
-    if !is_large(state) {
+    let now = Instant::now();
+    let peers = lock(&state.peers);
+    if !is_large(&peers, now) {
         return true;
     }
-    let now = Instant::now();
     let own = rank(state.options.gateway.link_mbps, &state.address);
     let zone = &state.options.host.zone;
-    let peers = lock(&state.peers);
     let near = peers.live(now).filter(|(_, peer)| peer.zone == *zone);
     let before = near.filter(|(address, peer)| rank(peer.link_mbps, address) > own);
     before.count() < READERS
@@ -222,7 +223,7 @@
         };
         match result {
             Ok(()) => {
-                if is_large(state) {
+                if is_large(&lock(&state.peers), Instant::now()) {
                     tokio::time::sleep(WATCH_PAUSE).await;
                 }
                 state.meter.read("ok");
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -23,11 +23,15 @@
 use crate::gateway::reader;
 use crate::gateway::source::Source;
 use crate::gateway::state::State;
+use crate::log;
 use crate::options::Options;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Time between two lines on what the log dropped.
+const REPORT: Duration = Duration::from_secs(5);
+
 /// Time between two looks at idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -58,7 +62,12 @@
 }
 
 /// Runs a gateway until it is told to stop. Returns how many requests were cut.
-pub async fn run(options: Options, names: Names, source: Source) -> Result<usize, Fault> {
+pub async fn run(
+    options: Options,
+    names: Names,
+    source: Source,
+    budget: &log::Budget,
+) -> Result<usize, Fault> {
     let random = StdRng::from_rng(&mut rand::rng());
     let state = Arc::new(State::new(options, names, source, random));
     let mut terminate = signal(SignalKind::terminate()).map_err(Fault::Signal)?;
@@ -66,8 +75,10 @@
     start(&state).await?;
     let host = &state.options.host;
     info!(host = %host.name, zone = %host.zone, process = state.process, "gateway: started");
+    let mut report = tokio::time::interval(REPORT);
     loop {
         tokio::select! {
+            _ = report.tick() => budget.report(),
             _ = terminate.recv() => break,
             _ = hangup.recv() => info!("gateway: settings stay as they were at the start"),
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 //! 10. `meter`: counters and histograms, and the connections' own
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,6 +62,10 @@
 /// the whole zone counts as cut off.
 const ZONE_FAILURES: usize = 2;
 
+/// Silence of all hosts of a zone from which on it counts as cut off: a few
+/// messages of each in a small fleet.
+const ZONE_SILENCE: Duration = Duration::from_millis(450);
+
 /// How long strikes are kept.
 const STRIKES_FOR: Duration = Duration::from_secs(60);
 
@@ -228,6 +233,7 @@
                 Some(_) | None => None,
             })
             .collect();
+        let silent = self.silent_zones(now, &usable);
         let (choice, facts) = {
             let health = lock(&self.health);
             let loads = lock(&self.loads);
@@ -244,6 +250,7 @@
                 let failures = failed.get(zone).copied().unwrap_or_default();
                 match health.usage(now, &known.upstream.id) {
                     Use::Good if zone != own && failures >= ZONE_FAILURES => Use::Trial,
+                    Use::Good if silent.contains(zone) => Use::Trial,
                     usage => usage,
                 }
             };
@@ -304,10 +311,10 @@
         };
         if job.route.is_sticky {
             let mut warm = lock(&self.warm);
-            let news = job.beginnings.iter().map(|key| warm.record(now, *key, id));
-            let is_news = news.fold(false, |any, is_new| any || is_new);
+            let beginnings = job.beginnings.iter();
+            let news = beginnings.filter(|key| warm.record(now, **key, id)).count();
             drop(warm);
-            if is_news {
+            if news > 0 {
                 self.urgent.notify_one();
             }
         }
@@ -342,6 +349,27 @@
         })
     }
 
+    /// Returns the other zones that no host was heard of for a moment, though the
+    /// fleet is small enough for that to tell something.
+    fn silent_zones<'a>(
+        &self,
+        now: Instant,
+        usable: &[&'a Arc<Known>],
+    ) -> BTreeSet<&'a ident::Zone> {
+        let peers = lock(&self.peers);
+        if reader::is_large(&peers, now) {
+            return BTreeSet::new();
+        }
+        let own = &self.options.host.zone;
+        let zones: BTreeSet<_> = usable.iter().map(|known| &known.upstream.zone).collect();
+        let others = zones.into_iter().filter(|zone| *zone != own);
+        let silent = others.filter(|zone| {
+            let silence = peers.silence(now, zone);
+            silence.is_some_and(|silence| silence > ZONE_SILENCE)
+        });
+        silent.collect()
+    }
+
     fn cold_room(
         &self,
         now: Instant,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -27,6 +27,7 @@
 use crate::gateway::state::State;
 use crate::ident;
 use crate::lock::lock;
+use crate::log::CALM;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
 
@@ -73,17 +74,32 @@
 /// before can still be refused.
 pub async fn run(state: &Arc<State>, job: Arc<Job>) -> Result<Response<Payload>, Refusal> {
     let mut trail = Trail::default();
-    let answer = forward::obtain(state, &job, &mut trail, None, None).await?;
-    if !answer.parts.status.is_success() {
+    let mut next = None;
+    let answer = loop {
+        let answer = forward::obtain(state, &job, &mut trail, next.take(), None).await?;
+        if answer.parts.status.is_success() {
+            break answer;
+        }
         let upstream = answer.lease.known.upstream.id.clone();
-        return match forward::collect(state, &job, answer).await {
-            Ok((parts, body)) => Ok(forward::whole(state, &job, &trail, parts, body)),
+        let (parts, body) = match forward::collect(state, &job, answer).await {
+            Ok(answer) => answer,
             Err(code) => {
                 forward::lost(state, &job, &mut trail, &upstream, code)?;
-                Err(Refusal::unknown(code))
+                continue;
             }
         };
-    }
+        let elsewhere = match parts.status.is_server_error() {
+            true => forward::reserve(state, &job, &trail, &upstream),
+            false => None,
+        };
+        let Some(lease) = elsewhere else {
+            return Ok(forward::whole(state, &job, &trail, parts, body));
+        };
+        info!(id = job.id, %upstream, status = parts.status.as_u16(),
+            "request: failed, trying another upstream");
+        trail.tried.push(upstream);
+        next = Some(lease);
+    };
     let parts = answer.parts.clone();
     let mut flow = Flow {
         state: state.clone(),
@@ -165,7 +181,7 @@
     /// before.
     fn take_events(&mut self) -> Result<Bytes, Code> {
         let mut events = BytesMut::new();
-        while let Some(event) = self.splitter.next() {
+        while let Some(event) = self.splitter.take() {
             match (event.id, self.last) {
                 (Some(id), Some(last)) if id <= last && self.is_resumed => continue,
                 (Some(id), Some(last)) if id != last + 1 => return Err(Code::ForeignAnswer),
@@ -202,7 +218,7 @@
         self.state
             .meter
             .streamed(self.job.route.kind, self.first_after, self.longest_pause);
-        info!(id = self.job.id, kind = %self.job.route.kind, upstream = %id,
+        info!(target: CALM, id = self.job.id, kind = %self.job.route.kind, upstream = %id,
             events = self.events, sends = self.trail.sends,
             first_ms = self.first_after.as_millis(),
             pause_ms = self.longest_pause.as_millis(),
