--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -35,6 +35,7 @@
 use crate::ident;
 use crate::lock::lock;
 use crate::log::CALM;
+use crate::log::millis;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
 
@@ -125,7 +126,7 @@
             let wait = arrived.elapsed();
             state.meter.refused(refusal.code);
             info!(id, code = %refusal.code, outcome = %refusal.outcome,
-                retry_after_ms = refusal.retry_after_ms, after_ms = wait.as_millis(),
+                retry_after_ms = refusal.retry_after_ms, after_ms = millis(wait),
                 "request: refused");
             let attempt = (!id.is_empty()).then_some((&state.names.attempt, id.as_str()));
             refusal::response(&refusal, attempt)
@@ -178,7 +179,7 @@
         info!(
             id,
             fingerprint,
-            left_ms = left.as_millis(),
+            left_ms = millis(left),
             "request: crashed several upstreams"
         );
         return Err(Refusal::not_run(Code::CrashedRepeatedly).after(left));
@@ -302,7 +303,7 @@
     let took = job.arrived.elapsed();
     state.meter.answered(job.route.kind, took);
     info!(target: CALM, id = job.id, kind = %job.route.kind, status = parts.status.as_u16(),
-        sends = trail.sends, after_ms = took.as_millis(), "request: answered");
+        sends = trail.sends, after_ms = millis(took), "request: answered");
     let body = Full::from(body).map_err(|never| match never {});
     head(&parts, Payload::new(body))
 }
@@ -379,7 +380,7 @@
         let facts = lease.facts;
         info!(target: CALM, id = job.id, %upstream, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = facts.load, candidates = facts.candidates,
             usage = %facts.usage, cold = facts.is_cold, warm = facts.is_warm, holder = lease.holder.map(|it| it.to_string()), last_event,
-            waited_ms = now.duration_since(job.arrived).as_millis(), "request: sent");
+            waited_ms = millis(now.duration_since(job.arrived)), "request: sent");
         match exchange(state, job, trail, lease, last_event).await {
             Ok(answer) => return Ok(answer),
             Err(Loss::Unsent(fault)) => {
@@ -436,7 +437,7 @@
     tried.push(upstream.clone());
     let lease = match state.choose(job, &tried) {
         Placed::At(lease) if !tried.contains(&lease.known.upstream.id) => lease,
-        Placed::At(_) | Placed::Wait | Placed::Nowhere => return None,
+        Placed::At(_) | Placed::Wait(_) | Placed::Nowhere => return None,
     };
     may_retry(state, job).then_some(lease)
 }
@@ -516,15 +517,18 @@
     let give_up = give_up.min(job.deadline);
     loop {
         let changed = state.changed.notified();
-        match state.choose(job, &trail.tried) {
+        let pool = match state.choose(job, &trail.tried) {
             Placed::At(lease) => return Ok(lease),
             Placed::Nowhere => {
                 return Err(given_up(trail, Code::NoUpstream, COME_BACK_UPSTREAM));
             }
-            Placed::Wait => {}
-        }
+            Placed::Wait(pool) => pool,
+        };
         let now = Instant::now();
         if now >= give_up {
+            info!(id = job.id, service = %job.service, usable = pool.usable, down = pool.down,
+                suspect = pool.suspect, cold = pool.cold, load = pool.load, slots = pool.slots,
+                "request: no place");
             return Err(given_up(trail, Code::Full, COME_BACK_FULL));
         }
         let look = give_up.min(now + LOOK_AGAIN);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -22,6 +22,7 @@
 use crate::gateway::state::State;
 use crate::ident;
 use crate::lock::lock;
+use crate::log::millis;
 use crate::policy::strike::Strike;
 
 /// The version of the form of messages.
@@ -206,10 +207,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn hear(state: &State, from: SocketAddr, bytes: &[u8]) {
     let IpAddr::V4(address) = from.ip() else {
         return;
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -26,6 +26,7 @@
 use crate::gateway::measure::Knowledge;
 use crate::gateway::state::State;
 use crate::lock::lock;
+use crate::log::millis;
 use crate::mirror::wire;
 use crate::mirror::wire::Content;
 
@@ -118,7 +119,6 @@
             break;
         }
     }
-    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     let settling = lock(&state.outage).settling(boot::Instant::now());
     let reply = {
         let mirror = lock(&state.mirror);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::ident;
+use crate::log::millis;
 
 /// Silence after which a host no longer counts as live.
 pub const LIVE_FOR: Duration = Duration::from_secs(3);
@@ -199,13 +200,10 @@
         };
         self.turn = self.turn.wrapping_add(told);
         let peers = self.peers.iter().cycle().skip(skip).take(count.min(told));
-        let contacts = peers.map(|(address, peer)| {
-            let silent = now.duration_since(peer.seen).as_millis();
-            Contact {
-                address: *address,
-                zone: peer.zone.clone(),
-                silent_ms: u64::try_from(silent).unwrap_or(u64::MAX),
-            }
+        let contacts = peers.map(|(address, peer)| Contact {
+            address: *address,
+            zone: peer.zone.clone(),
+            silent_ms: millis(now.duration_since(peer.seen)),
         });
         contacts.collect()
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -168,9 +168,10 @@
         Use::Trial => may_try,
         Use::Suspect | Use::Down => false,
     };
-    let tiers: [&dyn Fn(&Candidate<'_>) -> bool; 4] = [
+    let tiers: [&dyn Fn(&Candidate<'_>) -> bool; 5] = [
         &|it| is_good(it) && !it.is_tried,
         &is_good,
+        &|it| it.usage == Use::Trial,
         &|it| it.usage == Use::Suspect && !it.is_tried,
         &|it| it.usage == Use::Suspect,
     ];
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -31,6 +31,7 @@
 use crate::gateway::state::State;
 use crate::gateway::view;
 use crate::lock::lock;
+use crate::log::millis;
 use crate::mirror;
 use crate::mirror::wire;
 use crate::mirror::wire::Content;
@@ -289,7 +290,7 @@
     let now = boot::Instant::now();
     if lock(&state.outage).end(now) {
         info!(
-            window_ms = view::RESTORE_WINDOW.as_millis(),
+            window_ms = millis(view::RESTORE_WINDOW),
             "store: back, lapsed upstreams stay in use for a while"
         );
     }
@@ -367,7 +368,7 @@
 }
 
 async fn ask(address: SocketAddr, after: u64, wait: Duration) -> Result<wire::Reply, Lost> {
-    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    let wait_ms = millis(wait);
     let question = rmp_serde::to_vec(&wire::Ask { after, wait_ms })?;
     let stream = TcpStream::connect(address).await?;
     harden(&stream)?;
@@ -420,7 +421,7 @@
         info!(
             changes = changes.len(),
             revision,
-            age_ms = age.as_millis(),
+            age_ms = millis(age),
             version = view.table().map(|table| table.version),
             upstreams = view.upstreams(),
             "view: changed"
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,6 +24,7 @@
 use crate::gateway::source::Source;
 use crate::gateway::state::State;
 use crate::log;
+use crate::log::millis;
 use crate::options::Options;
 
 /// Connections that wait to be accepted.
@@ -138,11 +139,7 @@
     // The last bytes of answers leave before the process does.
     tokio::time::sleep(DRAIN_LOOK).await;
     let cut = active();
-    info!(
-        cut,
-        took_ms = began.elapsed().as_millis(),
-        "gateway: stopped"
-    );
+    info!(cut, took_ms = millis(began.elapsed()), "gateway: stopped");
     state.stop.cancel();
     cut
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -234,7 +234,7 @@
             })
             .collect();
         let silent = self.silent_zones(now, &usable);
-        let (choice, facts) = {
+        let (choice, facts, pool) = {
             let health = lock(&self.health);
             let loads = lock(&self.loads);
             let warm = lock(&self.warm);
@@ -287,11 +287,11 @@
                 }),
                 Choice::Wait | Choice::Nowhere => None,
             };
-            (choice, facts)
+            (choice, facts, Pool::new(&candidates))
         };
         let known = match choice {
             Choice::Send(index) => usable.get(index),
-            Choice::Wait => return Placed::Wait,
+            Choice::Wait => return Placed::Wait(pool),
             Choice::Nowhere => return Placed::Nowhere,
         };
         let (Some(known), Some(facts)) = (known, facts) else {
@@ -414,12 +414,43 @@
     pub is_warm: bool,
 }
 
+/// The upstreams of a service when none was chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// Upstreams that may get new work.
+    pub usable: usize,
+    /// Those that can't be reached.
+    pub down: usize,
+    /// Those that lose or fail many requests.
+    pub suspect: usize,
+    /// Cold ones that this host may start nothing at now.
+    pub cold: usize,
+    /// Requests of all hosts that are under way at them.
+    pub load: u32,
+    /// Requests that they run at once.
+    pub slots: u32,
+}
+
+impl Pool {
+    fn new(candidates: &[Candidate<'_>]) -> Self {
+        let count = |fits: &dyn Fn(&&Candidate<'_>) -> bool| candidates.iter().filter(fits).count();
+        Self {
+            usable: candidates.len(),
+            down: count(&|it| it.usage == Use::Down),
+            suspect: count(&|it| it.usage == Use::Suspect),
+            cold: count(&|it| it.cold_room == Some(0)),
+            load: candidates.iter().map(|it| it.load).sum(),
+            slots: candidates.iter().map(|it| it.slots).sum(),
+        }
+    }
+}
+
 /// The outcome of a choice.
 pub enum Placed {
     /// The request may be sent.
     At(Lease),
     /// An upstream will be free or usable soon.
-    Wait,
+    Wait(Pool),
     /// No upstream serves it.
     Nowhere,
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -28,6 +28,7 @@
 use crate::ident;
 use crate::lock::lock;
 use crate::log::CALM;
+use crate::log::millis;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
 
@@ -220,9 +221,9 @@
             .streamed(self.job.route.kind, self.first_after, self.longest_pause);
         info!(target: CALM, id = self.job.id, kind = %self.job.route.kind, upstream = %id,
             events = self.events, sends = self.trail.sends,
-            first_ms = self.first_after.as_millis(),
-            pause_ms = self.longest_pause.as_millis(),
-            after_ms = self.job.arrived.elapsed().as_millis(), "request: streamed");
+            first_ms = millis(self.first_after),
+            pause_ms = millis(self.longest_pause),
+            after_ms = millis(self.job.arrived.elapsed()), "request: streamed");
         let rest = self.splitter.rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
@@ -294,7 +295,7 @@
         self.is_over = true;
         self.state.meter.lost(code);
         info!(id = self.job.id, %code, events = self.events, sends = self.trail.sends,
-            after_ms = self.job.arrived.elapsed().as_millis(), "request: broke off");
+            after_ms = millis(self.job.arrived.elapsed()), "request: broke off");
         Cut(code)
     }
 
--- a/src/log.rs
+++ b/src/log.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::time::Instant;
 use tracing::Metadata;
@@ -40,6 +41,11 @@
 /// stopped.
 const QUEUE_LINES: usize = 8_192;
 
+/// Returns a time in whole milliseconds, for log lines and messages.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A budget of lines, refilled every second.
 #[derive(Debug)]
 struct Bucket {
