Forget upstreams that are gone, and hold answers of plain services up to 8 MiB

What was known of an upstream's health stayed for ever; an answer over 1 MiB of a purchase ended unknown. Connections a service takes were decoded and never used.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -70,7 +70,7 @@
 
 /// The longest answer of a plain service that is held until it is complete; so
 /// that one that breaks off can be asked for again.
-const HELD_BYTES: usize = 1 << 20;
+const HELD_BYTES: usize = 8 << 20;
 
 /// What happened to a request so far.
 #[derive(Clone, Debug, Default)]
@@ -338,7 +338,7 @@
         lease,
         sent: _,
     } = answer;
-    let body = Limited::new(body, HELD_BYTES.max(job.body.len())).collect();
+    let body = Limited::new(body, HELD_BYTES).collect();
     let body = match timeout_at(job.deadline, body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Code::AnswerTooLarge),
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -443,7 +443,11 @@
     let key = event.key.as_str();
     let Some(value) = &event.value else {
         info!(key, revision = event.revision, "view: item gone");
-        return view.remove(now, key, restored_by);
+        if let Some(id) = view.remove(now, key, restored_by) {
+            lock(&state.health).forget(&id);
+            lock(&state.warm).forget(&id);
+        }
+        return;
     };
     match (state.source.decode)(key, value) {
         Ok(Some(entry)) => {
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -77,8 +77,6 @@
     pub name: ident::Service,
     /// Requests a second that a cold upstream bears; none if it has no cold start.
     pub cold_per_second: Option<f64>,
-    /// Connections that one upstream takes from all hosts.
-    pub connections: usize,
 }
 
 /// A workspace and how urgent it is next to others.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -86,20 +86,27 @@
 
     /// Takes in that an item is gone. An upstream stays in use until
     /// `restored_by`, the end of the time in which a lapsed entry may come back.
-    /// The last route table stays in force.
-    pub fn remove(&mut self, now: boot::Instant, key: &str, restored_by: boot::Instant) {
+    /// The last route table stays in force. Returns an upstream that is gone.
+    pub fn remove(
+        &mut self,
+        now: boot::Instant,
+        key: &str,
+        restored_by: boot::Instant,
+    ) -> Option<ident::Upstream> {
         self.evacuated.remove(key);
+        self.upstreams
+            .retain(|_, known| known.lapses_at.is_none_or(|at| at > now));
         match self.upstreams.get_mut(key) {
             Some(known) if restored_by > now => {
                 Arc::make_mut(known).lapses_at = Some(restored_by);
+                None
             }
             Some(_) => {
-                self.upstreams.remove(key);
+                let gone = self.upstreams.remove(key)?;
+                Some(gone.upstream.id.clone())
             }
-            None => {}
+            None => None,
         }
-        self.upstreams
-            .retain(|_, known| known.lapses_at.is_none_or(|at| at > now));
     }
 
     /// Takes in that an item can't be read: it names no upstream to use, and a
