--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,12 +4,16 @@
 //! [`upstream`], and names the headers in [`names`]. Everything else is decided
 //! here: which host reads the store ([`reader`]), what other hosts know
 //! ([`gossip`], [`peers`]), which upstream runs a request ([`place`]), how often
-//! it is tried ([`forward`]) and when a host may vouch for what it knows.
+//! it is tried ([`attempt`]) and when a host may vouch for what it knows.
 
+pub mod accept;
+pub mod attempt;
 pub mod budget;
+pub mod choose;
 pub mod cold;
 pub mod connection;
 pub mod event;
+pub mod follow;
 pub mod forward;
 pub mod gossip;
 pub mod health;
@@ -19,6 +23,7 @@
 pub mod measure;
 pub mod names;
 pub mod operator;
+pub mod outage;
 pub mod peers;
 pub mod place;
 pub mod reader;
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -6,18 +6,9 @@
 //! that can.
 
 use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Request;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tracing::info;
@@ -25,7 +16,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::boot;
-use crate::gateway::connection::harden;
+use crate::gateway::follow::Lost;
+use crate::gateway::follow::STALE;
+use crate::gateway::follow::follow;
+use crate::gateway::follow::follow_any;
 use crate::gateway::peers;
 use crate::gateway::source::Fault;
 use crate::gateway::state::State;
@@ -33,8 +27,6 @@
 use crate::lock::lock;
 use crate::log::millis;
 use crate::mirror;
-use crate::mirror::wire;
-use crate::mirror::wire::Content;
 
 /// The longest that a watch on the store waits; it bounds the age of what is
 /// known, which operators bound to some seconds.
@@ -49,15 +41,9 @@
 /// The longest that a follower asks to wait.
 const FOLLOW: Duration = Duration::from_millis(1_000);
 
-/// How long an answer to a follower may take beyond the wait asked for.
-const FOLLOW_PATIENCE: Duration = Duration::from_millis(400);
-
 /// Hosts up to which all read the store.
 const SMALL_FLEET: usize = 16;
 
-/// The age of what a host holds from which on it isn't followed.
-const STALE: Duration = Duration::from_millis(2_200);
-
 /// Time between two looks whether this host fell behind others.
 const CATCH_UP: Duration = Duration::from_millis(300);
 
@@ -74,71 +60,6 @@
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Silence of the store from which on entries of upstreams may have lapsed: they
-/// do after three heartbeats of theirs.
-const OUTAGE: Duration = Duration::from_millis(1_200);
-
-/// The longest answer to a follower, in bytes.
-const REPLY_BYTES: usize = 16 << 20;
-
-/// Why another host can't be followed.
-#[derive(Debug, thiserror::Error)]
-enum Lost {
-    #[error("no answer within {0:?}")]
-    Silent(Duration),
-    #[error("no connection: {0}")]
-    Connect(#[from] std::io::Error),
-    #[error("connection broke: {0}")]
-    Broken(#[from] hyper::Error),
-    #[error("answer broke off: {0}")]
-    Cut(#[source] Box<dyn std::error::Error + Send + Sync>),
-    #[error("it refused with status {0}")]
-    Refused(http::StatusCode),
-    #[error("question can't be encoded: {0}")]
-    Encode(#[from] rmp_serde::encode::Error),
-    #[error("answer {0}")]
-    Form(#[from] wire::Fault),
-    #[error("what it holds is {0:?} old")]
-    Stale(Duration),
-}
-
-/// Whether the store was away, as entries of live upstreams lapse meanwhile.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Outage {
-    since: Option<boot::Instant>,
-    restored_by: Option<boot::Instant>,
-}
-
-impl Outage {
-    /// Records that a call which began at a moment failed.
-    pub fn begin(&mut self, at: boot::Instant) {
-        self.since.get_or_insert(at);
-    }
-
-    /// Records that the store answered, and tells whether it had been away.
-    pub fn end(&mut self, now: boot::Instant) -> bool {
-        let since = self.since.take();
-        let was_away = since.is_some_and(|since| now.since(since) > OUTAGE);
-        if was_away {
-            self.restored_by = Some(now + view::RESTORE_WINDOW);
-        }
-        was_away
-    }
-
-    /// Records that another host knows what the store holds: no entry lapsed but
-    /// for an outage that the host saw the end of.
-    pub fn pass(&mut self, now: boot::Instant, settling: Duration) {
-        self.since = None;
-        let until = now + settling;
-        self.restored_by = self.restored_by.max(Some(until));
-    }
-
-    /// Returns how much longer lapsed entries may be restored.
-    pub fn settling(&self, now: boot::Instant) -> Duration {
-        self.restored_by.map_or(Duration::ZERO, |by| by.since(now))
-    }
-}
-
 /// Reads the store, or follows a host that does, until the process stops.
 pub async fn run(state: Arc<State>) {
     let mut store = Store::default();
@@ -317,87 +238,8 @@
     }
 }
 
-/// Asks the host that knows most, as far as it was heard, this zone's first.
-async fn follow_any(state: &Arc<State>) {
-    let now = Instant::now();
-    let zone = &state.options.host.zone;
-    let own = lock(&state.mirror).revision();
-    let leader = {
-        let peers = lock(&state.peers);
-        let live = peers.live(now).filter_map(|(address, peer)| {
-            let age = peer.age(now)?;
-            let is_useful = age < STALE || peer.revision > own;
-            is_useful.then_some((address, peer, age))
-        });
-        let best = live.max_by_key(|(_, peer, age)| {
-            (peer.revision, peer.zone == *zone, std::cmp::Reverse(*age))
-        });
-        best.map(|(address, _, _)| *address)
-    };
-    if let Some(leader) = leader
-        && let Err(lost) = follow(state, leader, Duration::ZERO).await
-    {
-        info!(%leader, %lost, "peers: can't follow");
-    }
-}
-
-/// Asks a host for what it holds, and adopts it.
-async fn follow(state: &Arc<State>, leader: Ipv4Addr, wait: Duration) -> Result<(), Lost> {
-    let as_of = boot::Instant::now();
-    let after = lock(&state.mirror).revision();
-    let limit = wait + FOLLOW_PATIENCE;
-    let address = SocketAddr::from((leader, state.options.host.peer.port()));
-    let asked = timeout(limit, ask(address, after, wait)).await;
-    let reply = asked.map_err(|_| Lost::Silent(limit))??;
-    // The reply was made this long after the question left, at the earliest.
-    let made = as_of + Duration::from_millis(reply.waited_ms);
-    let age = Duration::from_millis(reply.age_ms);
-    let as_of = made.before(age);
-    if age < OUTAGE {
-        let settling = Duration::from_millis(reply.settling_ms);
-        lock(&state.outage).pass(boot::Instant::now(), settling);
-    }
-    adopt(state, as_of, |mirror| match reply.content {
-        Content::Changes(events) => mirror.apply(events, reply.revision, as_of),
-        Content::Whole(items) => mirror.replace(items, reply.revision, as_of),
-    });
-    match age > STALE {
-        true => Err(Lost::Stale(age)),
-        false => Ok(()),
-    }
-}
-
-async fn ask(address: SocketAddr, after: u64, wait: Duration) -> Result<wire::Reply, Lost> {
-    let wait_ms = millis(wait);
-    let question = rmp_serde::to_vec(&wire::Ask { after, wait_ms })?;
-    let stream = TcpStream::connect(address).await?;
-    harden(&stream)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let request = Request::post(wire::PATH)
-        .header(http::header::HOST, address.to_string())
-        .body(Full::new(Bytes::from(question)))
-        .map_err(|error| Lost::Cut(error.into()))?;
-    let exchange = async {
-        let response = sender.send_request(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), REPLY_BYTES).collect();
-        match status.is_success() {
-            true => Ok(body.await.map_err(Lost::Cut)?.to_bytes()),
-            false => Err(Lost::Refused(status)),
-        }
-    };
-    let bytes = tokio::select! {
-        bytes = exchange => bytes?,
-        ended = connection => {
-            ended?;
-            return Err(Lost::Refused(http::StatusCode::SERVICE_UNAVAILABLE));
-        }
-    };
-    Ok(wire::Reply::decode(&bytes)?)
-}
-
 /// Changes the mirror and then the view.
-fn adopt(
+pub fn adopt(
     state: &State,
     as_of: boot::Instant,
     change: impl FnOnce(&mut mirror::Table) -> Vec<mirror::Event>,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -17,13 +17,14 @@
 use tokio::time::timeout_at;
 use tracing::info;
 
+use crate::gateway::attempt;
+use crate::gateway::attempt::Answer;
+use crate::gateway::attempt::Trail;
+use crate::gateway::choose::Lease;
 use crate::gateway::event::Splitter;
 use crate::gateway::forward;
-use crate::gateway::forward::Answer;
-use crate::gateway::forward::Trail;
 use crate::gateway::health::Sign;
 use crate::gateway::job::Job;
-use crate::gateway::state::Lease;
 use crate::gateway::state::State;
 use crate::ident;
 use crate::lock::lock;
@@ -77,7 +78,7 @@
     let mut trail = Trail::default();
     let mut next = None;
     let answer = loop {
-        let answer = forward::obtain(state, &job, &mut trail, next.take(), None).await?;
+        let answer = attempt::obtain(state, &job, &mut trail, next.take(), None).await?;
         if answer.parts.status.is_success() {
             break answer;
         }
@@ -85,12 +86,12 @@
         let (parts, body) = match forward::collect(state, &job, answer).await {
             Ok(answer) => answer,
             Err(code) => {
-                forward::lost(state, &job, &mut trail, &upstream, code)?;
+                attempt::lost(state, &job, &mut trail, &upstream, code)?;
                 continue;
             }
         };
         let elsewhere = match parts.status.is_server_error() {
-            true => forward::reserve(state, &job, &trail, &upstream),
+            true => attempt::reserve(state, &job, &trail, &upstream),
             false => None,
         };
         let Some(lease) = elsewhere else {
@@ -236,7 +237,7 @@
     /// Takes a place elsewhere while the upstream is slow, if there is one.
     fn reserve(&self) -> Option<Lease> {
         let upstream = &self.answer.as_ref()?.lease.known.upstream.id;
-        forward::reserve(&self.state, &self.job, &self.trail, upstream)
+        attempt::reserve(&self.state, &self.job, &self.trail, upstream)
     }
 
     /// Leaves a slow upstream for a place elsewhere.
@@ -250,7 +251,7 @@
         else {
             return Err(self.cut(code));
         };
-        forward::moved(&self.state, &self.job, &mut self.trail, &upstream, code);
+        attempt::moved(&self.state, &self.job, &mut self.trail, &upstream, code);
         self.follow(&upstream, Some(lease)).await
     }
 
@@ -264,7 +265,7 @@
         else {
             return Err(self.cut(code));
         };
-        let again = forward::lost(&self.state, &self.job, &mut self.trail, &upstream, code);
+        let again = attempt::lost(&self.state, &self.job, &mut self.trail, &upstream, code);
         if again.is_err() {
             return Err(self.cut(code));
         }
@@ -277,7 +278,7 @@
         self.is_resumed = true;
         self.patience = 1;
         let (state, job) = (self.state.clone(), self.job.clone());
-        let answer = forward::obtain(&state, &job, &mut self.trail, next, self.last).await;
+        let answer = attempt::obtain(&state, &job, &mut self.trail, next, self.last).await;
         match answer {
             Ok(answer) if answer.parts.status.is_success() => {
                 info!(id = self.job.id, from = %upstream,
