Ask another upstream after a failure only with a place taken there

The retry of a plain request's 5xx waited for a place and could go back to the same upstream; it now shares the way of slow requests. One loop less to read.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -207,7 +207,7 @@
 }
 
 /// Takes a retry from this host's share, if there is one.
-pub fn may_retry(state: &State, job: &Job) -> bool {
+fn may_retry(state: &State, job: &Job) -> bool {
     let now = Instant::now();
     let hosts = lock(&state.peers).sharing(now);
     let limits = state.options.gateway.retries();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,15 +21,17 @@
 use crate::gateway::attempt::Answer;
 use crate::gateway::attempt::Trail;
 use crate::gateway::attempt::lost;
-use crate::gateway::attempt::may_retry;
 use crate::gateway::attempt::note;
 use crate::gateway::attempt::obtain;
+use crate::gateway::attempt::reserve;
+use crate::gateway::choose::Lease;
 use crate::gateway::health::Sign;
 use crate::gateway::job::Job;
 use crate::gateway::refusal;
 use crate::gateway::state::State;
 use crate::gateway::stream;
 use crate::gateway::stream::Payload;
+use crate::ident;
 use crate::lock::lock;
 use crate::log::CALM;
 use crate::log::millis;
@@ -76,49 +78,47 @@
     }
 }
 
-/// Serves a request whose answer is passed on when it is complete.
+/// Serves a request whose answer is passed on when it is complete. A failure that
+/// an upstream answered is kept while another one is asked.
 async fn plain(state: &Arc<State>, job: &Job) -> Result<Response<Payload>, Refusal> {
     let mut trail = Trail::default();
-    let mut fallback: Option<(Parts, Bytes)> = None;
+    let mut next = None;
+    let mut failure = None;
     loop {
-        let answer = match (
-            obtain(state, job, &mut trail, None, None).await,
-            fallback.take(),
-        ) {
-            (Ok(answer), kept) => {
-                fallback = kept;
-                answer
-            }
-            (Err(_), Some((parts, body))) => return Ok(whole(state, job, &trail, parts, body)),
-            (Err(refusal), None) => return Err(refusal),
-        };
-        let upstream = answer.lease.known.upstream.id.clone();
-        match collect(state, job, answer).await {
-            Ok((parts, body)) => {
-                let failed = parts.status.is_server_error();
-                let again = failed && job.route.kind.is_repeatable() && fallback.is_none();
-                if again && trail.runs < job.route.attempts && may_retry(state, job) {
+        let done = complete(state, job, &mut trail, next.take()).await;
+        let (parts, body) = match (done, failure.take()) {
+            (Ok((upstream, parts, body)), None) if parts.status.is_server_error() => {
+                if let Some(lease) = reserve(state, job, &trail, &upstream) {
                     info!(id = job.id, %upstream, status = parts.status.as_u16(),
                         "request: failed, trying another upstream");
                     trail.tried.push(upstream);
-                    fallback = Some((parts, body));
+                    failure = Some((parts, body));
+                    next = Some(lease);
                     continue;
                 }
-                return match (failed, fallback) {
-                    (true, Some((parts, body))) => Ok(whole(state, job, &trail, parts, body)),
-                    _ => Ok(whole(state, job, &trail, parts, body)),
-                };
+                (parts, body)
             }
-            Err(code) => match (
-                lost(state, job, &mut trail, &upstream, code),
-                fallback.take(),
-            ) {
-                (Ok(()), kept) => fallback = kept,
-                (Err(_), Some((parts, body))) => {
-                    return Ok(whole(state, job, &trail, parts, body));
-                }
-                (Err(refusal), None) => return Err(refusal),
-            },
+            (Ok((_, parts, body)), _) => (parts, body),
+            (Err(_), Some(failure)) => failure,
+            (Err(refusal), None) => return Err(refusal),
+        };
+        return Ok(whole(state, job, &trail, parts, body));
+    }
+}
+
+/// Returns the first answer that came to its end, and the upstream that gave it.
+async fn complete(
+    state: &Arc<State>,
+    job: &Job,
+    trail: &mut Trail,
+    mut next: Option<Lease>,
+) -> Result<(ident::Upstream, Parts, Bytes), Refusal> {
+    loop {
+        let answer = obtain(state, job, trail, next.take(), None).await?;
+        let upstream = answer.lease.known.upstream.id.clone();
+        match collect(state, job, answer).await {
+            Ok((parts, body)) => return Ok((upstream, parts, body)),
+            Err(code) => lost(state, job, trail, &upstream, code)?,
         }
     }
 }
