--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -165,7 +165,7 @@
     tried.push(upstream.clone());
     let lease = match state.choose(job, &tried) {
         Placed::At(lease) if !tried.contains(&lease.known.upstream.id) => lease,
-        Placed::At(_) | Placed::Wait(_) | Placed::Nowhere => return None,
+        Placed::At(_) | Placed::Wait(_) | Placed::NoUpstream => return None,
     };
     may_retry(state, job).then_some(lease)
 }
@@ -250,7 +250,7 @@
         let changed = state.changed.notified();
         let pool = match state.choose(job, &trail.tried) {
             Placed::At(lease) => return Ok(lease),
-            Placed::Nowhere => {
+            Placed::NoUpstream => {
                 return Err(given_up(trail, Code::NoUpstream, COME_BACK_UPSTREAM));
             }
             Placed::Wait(pool) => pool,
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -112,17 +112,17 @@
                     is_cold: it.cold_room.is_some(),
                     is_warm: it.is_warm,
                 }),
-                Choice::Wait | Choice::Nowhere => None,
+                Choice::Wait | Choice::NoUpstream => None,
             };
             (choice, facts, Pool::new(&candidates))
         };
         let known = match choice {
             Choice::Send(index) => usable.get(index),
             Choice::Wait => return Placed::Wait(pool),
-            Choice::Nowhere => return Placed::Nowhere,
+            Choice::NoUpstream => return Placed::NoUpstream,
         };
         let (Some(known), Some(facts)) = (known, facts) else {
-            return Placed::Nowhere;
+            return Placed::NoUpstream;
         };
         let id = &known.upstream.id;
         if facts.usage == Use::Trial {
@@ -139,9 +139,9 @@
         if job.route.is_sticky {
             let mut warm = lock(&self.warm);
             let beginnings = job.beginnings.iter();
-            let news = beginnings.filter(|key| warm.record(now, **key, id)).count();
+            let updates = beginnings.filter(|key| warm.record(now, **key, id)).count();
             drop(warm);
-            if news > 0 {
+            if updates > 0 {
                 self.urgent.notify_one();
             }
         }
@@ -176,7 +176,7 @@
         })
     }
 
-    /// Returns the other zones that no host was heard of for a moment, though the
+    /// Returns the other zones whose hosts all fell silent a moment ago, though the
     /// fleet is small enough for that to tell something.
     fn silent_zones<'a>(
         &self,
@@ -274,7 +274,7 @@
     /// An upstream will be free or usable soon.
     Wait(Pool),
     /// No upstream serves it.
-    Nowhere,
+    NoUpstream,
 }
 
 /// A request counted at an upstream until this is dropped.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -38,7 +38,7 @@
 
 /// Why another host can't be followed.
 #[derive(Debug, thiserror::Error)]
-pub enum Lost {
+pub enum Fault {
     /// It gave no answer in time.
     #[error("no answer within {0:?}")]
     Silent(Duration),
@@ -65,7 +65,7 @@
     Stale(Duration),
 }
 
-/// Asks the host that knows most, as far as it was heard, this zone's first.
+/// Asks the host with the latest copy, as far as its messages say, preferably of this zone.
 pub async fn follow_any(state: &Arc<State>) {
     let now = Instant::now();
     let zone = &state.options.host.zone;
@@ -90,13 +90,13 @@
 }
 
 /// Asks a host for what it holds, and adopts it.
-pub async fn follow(state: &Arc<State>, leader: Ipv4Addr, wait: Duration) -> Result<(), Lost> {
+pub async fn follow(state: &Arc<State>, leader: Ipv4Addr, wait: Duration) -> Result<(), Fault> {
     let as_of = boot::Instant::now();
     let after = lock(&state.mirror).revision();
     let limit = wait + FOLLOW_PATIENCE;
     let address = SocketAddr::from((leader, state.options.host.peer.port()));
     let asked = timeout(limit, ask(address, after, wait)).await;
-    let reply = asked.map_err(|_| Lost::Silent(limit))??;
+    let reply = asked.map_err(|_| Fault::Silent(limit))??;
     // The reply was made this long after the question left, at the earliest.
     let made = as_of + Duration::from_millis(reply.waited_ms);
     let age = Duration::from_millis(reply.age_ms);
@@ -110,12 +110,12 @@
         Content::Whole(items) => mirror.replace(items, reply.revision, as_of),
     });
     match age > STALE {
-        true => Err(Lost::Stale(age)),
+        true => Err(Fault::Stale(age)),
         false => Ok(()),
     }
 }
 
-async fn ask(address: SocketAddr, after: u64, wait: Duration) -> Result<wire::Reply, Lost> {
+async fn ask(address: SocketAddr, after: u64, wait: Duration) -> Result<wire::Reply, Fault> {
     let wait_ms = millis(wait);
     let question = rmp_serde::to_vec(&wire::Ask { after, wait_ms })?;
     let stream = TcpStream::connect(address).await?;
@@ -124,21 +124,21 @@
     let request = Request::post(wire::PATH)
         .header(http::header::HOST, address.to_string())
         .body(Full::new(Bytes::from(question)))
-        .map_err(|error| Lost::Cut(error.into()))?;
+        .map_err(|error| Fault::Cut(error.into()))?;
     let exchange = async {
         let response = sender.send_request(request).await?;
         let status = response.status();
         let body = Limited::new(response.into_body(), REPLY_BYTES).collect();
         match status.is_success() {
-            true => Ok(body.await.map_err(Lost::Cut)?.to_bytes()),
-            false => Err(Lost::Refused(status)),
+            true => Ok(body.await.map_err(Fault::Cut)?.to_bytes()),
+            false => Err(Fault::Refused(status)),
         }
     };
     let bytes = tokio::select! {
         bytes = exchange => bytes?,
         ended = connection => {
             ended?;
-            return Err(Lost::Refused(http::StatusCode::SERVICE_UNAVAILABLE));
+            return Err(Fault::Refused(http::StatusCode::SERVICE_UNAVAILABLE));
         }
     };
     Ok(wire::Reply::decode(&bytes)?)
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,4 +1,4 @@
-//! What hosts tell each other by datagrams: that they live, what runs at
+//! What hosts send each other as datagrams: that they live, what runs at
 //! upstreams, which hold which prompt, which were lost, which requests crash
 //! them.
 
@@ -40,10 +40,10 @@
 /// Messages to other zones are this many times as seldom in a large fleet.
 const FAR_TURNS: usize = 5;
 
-/// Hosts from which on other zones are told more seldom.
+/// Hosts from which on messages to other zones are less frequent.
 const LARGE_FLEET: usize = 16;
 
-/// The least time between two messages for urgent news.
+/// The least time between two messages for urgent updates.
 const URGENT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A message to other hosts.
@@ -63,7 +63,7 @@
     contacts: Vec<Contact>,
 }
 
-/// Tells other hosts and listens to them until the process stops.
+/// Sends and receives messages until the process stops.
 pub async fn run(state: Arc<State>, socket: UdpSocket) {
     let mut buffer = vec![0; 64 * 1024];
     let mut next = Instant::now();
@@ -74,12 +74,12 @@
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     let bytes = buffer.get(..length).unwrap_or_default();
-                    hear(&state, from, bytes);
+                    receive(&state, from, bytes);
                 }
                 Err(error) => warn!(%error, "peers: can't receive"),
             },
             () = tokio::time::sleep_until(next) => {
-                let count = tell(&state, &socket, &mut turn).await;
+                let count = send(&state, &socket, &mut turn).await;
                 next = Instant::now() + pause(&state, count);
             }
             () = state.urgent.notified() => {
@@ -95,31 +95,31 @@
     least.max(Duration::from_secs_f64(hosts as f64 / MESSAGES_PER_SECOND))
 }
 
-/// Tells all hosts of this zone, and those of other zones if it is their turn.
-async fn tell(state: &State, socket: &UdpSocket, turn: &mut Turn) -> usize {
+/// Sends a message to all hosts of this zone, and to those of other zones whose turn it is.
+async fn send(state: &State, socket: &UdpSocket, turn: &mut Turn) -> usize {
     let now = Instant::now();
     lock(&state.loads).expire(now);
     let targets = lock(&state.peers).targets(now);
     let is_large = targets.len() >= LARGE_FLEET;
     let own = &state.options.host.zone;
     let near = |zone: &Option<ident::Zone>| zone.as_ref() == Some(own);
-    let news = lock(&state.warm).take_news();
-    let all = turn.next(news.clone());
+    let updates = lock(&state.warm).take_updates();
+    let all = turn.next(updates.clone());
     let (near, far): (Vec<_>, Vec<_>) = targets.iter().partition(|(_, zone)| near(zone));
-    // Each host of another zone is told in a turn of its own.
+    // Each host of another zone gets its message in a turn of its own.
     let far = far.into_iter().enumerate();
     let far = far.filter(|(index, _)| !is_large || turn.is_due(*index));
     let far: Vec<_> = far.map(|(_, target)| target).collect();
     let count = near.len() + far.len();
-    let far_news = match is_large {
+    let far_updates = match is_large {
         true => all,
-        false => news.clone(),
+        false => updates.clone(),
     };
-    for (targets, news) in [(near, news), (far, far_news)] {
+    for (targets, updates) in [(near, updates), (far, far_updates)] {
         if targets.is_empty() {
             continue;
         }
-        let Some(bytes) = message(state, now, news) else {
+        let Some(bytes) = message(state, now, updates) else {
             return count;
         };
         for (address, _) in targets {
@@ -135,24 +135,24 @@
     count
 }
 
-type News = Vec<(u64, ident::Upstream)>;
+type Updates = Vec<(u64, ident::Upstream)>;
 
-/// Which hosts of other zones are told, and what they weren't told yet.
+/// Which hosts of other zones get a message, and the updates that they didn't get yet.
 #[derive(Debug, Default)]
 struct Turn {
     number: usize,
-    news: VecDeque<News>,
+    updates: VecDeque<Updates>,
 }
 
 impl Turn {
-    /// Begins a turn with what is new, and returns the news of a whole round.
-    fn next(&mut self, news: News) -> News {
+    /// Begins a turn with the latest updates, and returns those of a whole round.
+    fn next(&mut self, updates: Updates) -> Updates {
         self.number = self.number.wrapping_add(1);
-        self.news.push_back(news);
-        if self.news.len() > FAR_TURNS {
-            self.news.pop_front();
+        self.updates.push_back(updates);
+        if self.updates.len() > FAR_TURNS {
+            self.updates.pop_front();
         }
-        self.news.iter().flatten().cloned().collect()
+        self.updates.iter().flatten().cloned().collect()
     }
 
     fn is_due(&self, index: usize) -> bool {
@@ -207,7 +207,7 @@
     }
 }
 
-fn hear(state: &State, from: SocketAddr, bytes: &[u8]) {
+fn receive(state: &State, from: SocketAddr, bytes: &[u8]) {
     let IpAddr::V4(address) = from.ip() else {
         return;
     };
@@ -219,7 +219,7 @@
         return;
     }
     let now = Instant::now();
-    let word = peers::Word {
+    let announcement = peers::Announcement {
         zone: message.zone,
         process: message.process,
         is_leaving: message.is_leaving,
@@ -232,11 +232,11 @@
     }
     {
         let mut peers = lock(&state.peers);
-        if peers.hear(now, address, word) {
-            info!(%address, process = message.process, "peers: heard a new host");
+        if peers.receive(now, address, announcement) {
+            info!(%address, process = message.process, "peers: new host");
         }
         for contact in &message.contacts {
-            peers.learn(now, contact);
+            peers.add(now, contact);
         }
     }
     {
@@ -246,7 +246,7 @@
         }
     }
     let loads = message.loads.into_iter().collect();
-    lock(&state.loads).tell(now, message.process, loads);
+    lock(&state.loads).report(now, message.process, loads);
     {
         let mut warm = lock(&state.warm);
         for (prompt, upstream) in &message.prompts {
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -1,4 +1,4 @@
-//! Requests under way at upstreams: this host's own, and what others told.
+//! Requests under way at upstreams: this host's own, and what other hosts report.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,8 +7,8 @@
 
 use crate::ident;
 
-/// How long the counts of a host hold after it was heard last.
-const TOLD_FOR: Duration = Duration::from_secs(3);
+/// How long the counts of a host are valid after its last report.
+const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 
 /// Counts by upstream.
 pub type Counts = BTreeMap<ident::Upstream, u32>;
@@ -17,13 +17,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     own: Counts,
-    told: BTreeMap<u64, Told>,
-    /// The sum of what is told.
+    reports: BTreeMap<u64, Report>,
+    /// The sum of all reports.
     sum: Counts,
 }
 
 #[derive(Clone, Debug)]
-struct Told {
+struct Report {
     at: Instant,
     counts: Counts,
 }
@@ -56,18 +56,18 @@
     }
 
     /// Takes in the counts of another host's process.
-    pub fn tell(&mut self, now: Instant, process: u64, counts: Counts) {
+    pub fn report(&mut self, now: Instant, process: u64, counts: Counts) {
         self.forget(process);
         for (upstream, count) in &counts {
             *self.sum.entry(upstream.clone()).or_default() += count;
         }
-        self.told.insert(process, Told { at: now, counts });
+        self.reports.insert(process, Report { at: now, counts });
     }
 
-    /// Forgets hosts that weren't heard for a while.
+    /// Drops hosts whose last report is too old.
     pub fn expire(&mut self, now: Instant) {
-        let is_old = |told: &Told| now.duration_since(told.at) >= TOLD_FOR;
-        let old = self.told.iter().filter(|(_, told)| is_old(told));
+        let is_old = |report: &Report| now.duration_since(report.at) >= REPORT_LIFETIME;
+        let old = self.reports.iter().filter(|(_, report)| is_old(report));
         let old: Vec<u64> = old.map(|(process, _)| *process).collect();
         for process in old {
             self.forget(process);
@@ -75,8 +75,8 @@
     }
 
     fn forget(&mut self, process: u64) {
-        let told = self.told.remove(&process);
-        for (upstream, count) in told.into_iter().flat_map(|told| told.counts) {
+        let report = self.reports.remove(&process);
+        for (upstream, count) in report.into_iter().flat_map(|report| report.counts) {
             subtract(&mut self.sum, &upstream, count);
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,4 +1,4 @@
-//! Which other hosts there are: found through seeds, kept by word of mouth.
+//! Which other hosts there are: found through seeds, kept up to date by messages.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -21,42 +21,42 @@
 /// Silence after which a host is no longer spoken to.
 const SPOKEN_TO_FOR: Duration = Duration::from_secs(120);
 
-/// The addresses told in one message.
-const TOLD: usize = 3;
+/// The addresses in one message.
+const ADDRESSES: usize = 3;
 
 /// The same while hosts still find each other.
-const TOLD_EARLY: usize = 16;
+const ADDRESSES_EARLY: usize = 16;
 
 /// How long hosts find each other after a start.
 const EARLY: Duration = Duration::from_secs(8);
 
-/// A host as others tell of it.
+/// A host as other hosts know it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
     /// Its address.
     pub address: Ipv4Addr,
     /// Its availability zone.
     pub zone: ident::Zone,
-    /// How long ago it was heard by the one who tells, in milliseconds.
+    /// How long ago the sender last received a message of it, in milliseconds.
     pub silent_ms: u64,
 }
 
-/// A host that was heard, or told of.
+/// A host that sent a message, or that another host knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
     /// Its zone.
     pub zone: ident::Zone,
-    /// The run of its process, once it was heard itself.
+    /// The run of its process, once it sent a message itself.
     pub process: Option<u64>,
-    /// When it was heard itself.
-    pub heard: Option<Instant>,
-    /// When anyone heard it last, as far as is known.
+    /// When its last message was received.
+    pub received: Option<Instant>,
+    /// When any host last received a message of it, as far as is known.
     pub seen: Instant,
     /// Whether it said that it is leaving.
     pub is_leaving: bool,
     /// The revision of the store that it holds.
     pub revision: u64,
-    /// The age of what it holds when it was heard, if it holds anything.
+    /// The age of its copy of the store at its last message, if it has one.
     pub age: Option<Duration>,
     /// The speed of its link, in Mbit/s.
     pub link_mbps: u32,
@@ -65,14 +65,14 @@
 impl Peer {
     /// Returns the age of what it holds now, at the most.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        let heard = self.heard?;
-        self.age.map(|age| age + now.duration_since(heard))
+        let received = self.received?;
+        self.age.map(|age| age + now.duration_since(received))
     }
 }
 
-/// What a message says of its sender.
+/// What a message says about its sender.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Word {
+pub struct Announcement {
     /// The sender's zone.
     pub zone: ident::Zone,
     /// The run of its process.
@@ -111,25 +111,25 @@
     }
 
     /// Takes in a message of a host, and tells whether it is a new run of it.
-    pub fn hear(&mut self, now: Instant, address: Ipv4Addr, word: Word) -> bool {
+    pub fn receive(&mut self, now: Instant, address: Ipv4Addr, message: Announcement) -> bool {
         let old = self.peers.get(&address);
-        let is_new = old.and_then(|peer| peer.process) != Some(word.process);
+        let is_new = old.and_then(|peer| peer.process) != Some(message.process);
         let peer = Peer {
-            zone: word.zone,
-            process: Some(word.process),
-            heard: Some(now),
+            zone: message.zone,
+            process: Some(message.process),
+            received: Some(now),
             seen: now,
-            is_leaving: word.is_leaving,
-            revision: word.revision,
-            age: word.age,
-            link_mbps: word.link_mbps,
+            is_leaving: message.is_leaving,
+            revision: message.revision,
+            age: message.age,
+            link_mbps: message.link_mbps,
         };
         self.peers.insert(address, peer);
         is_new
     }
 
-    /// Takes in a host that another told of.
-    pub fn learn(&mut self, now: Instant, contact: &Contact) {
+    /// Adds a host that another knows.
+    pub fn add(&mut self, now: Instant, contact: &Contact) {
         let silent = Duration::from_millis(contact.silent_ms);
         let seen = now.checked_sub(silent);
         let Some(seen) = seen.filter(|_| silent < COUNTED_FOR && contact.address != self.own)
@@ -139,7 +139,7 @@
         let peer = self.peers.entry(contact.address).or_insert_with(|| Peer {
             zone: contact.zone.clone(),
             process: None,
-            heard: None,
+            received: None,
             seen,
             is_leaving: false,
             revision: 0,
@@ -152,16 +152,16 @@
     /// Returns the hosts that are live, with their addresses.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
         self.peers.iter().filter(move |(_, peer)| {
-            let heard = peer.heard.map(|heard| now.duration_since(heard));
-            heard.is_some_and(|silent| silent < LIVE_FOR) && !peer.is_leaving
+            let received = peer.received.map(|received| now.duration_since(received));
+            received.is_some_and(|silent| silent < LIVE_FOR) && !peer.is_leaving
         })
     }
 
-    /// Returns how long no host of a zone was heard; none if none was ever.
+    /// Returns the time since the last message of any host of a zone, if there was one.
     pub fn silence(&self, now: Instant, zone: &ident::Zone) -> Option<Duration> {
         let peers = self.peers.values().filter(|peer| peer.zone == *zone);
-        let heard = peers.filter_map(|peer| peer.heard).max();
-        heard.map(|heard| now.duration_since(heard))
+        let received = peers.filter_map(|peer| peer.received).max();
+        received.map(|received| now.duration_since(received))
     }
 
     /// Returns how many hosts share the fleet's budgets, this one included.
@@ -178,7 +178,7 @@
     }
 
     /// Returns the addresses to speak to: hosts that were seen, and seeds that
-    /// weren't heard lately.
+    /// sent nothing lately.
     pub fn targets(&mut self, now: Instant) -> Vec<(Ipv4Addr, Option<ident::Zone>)> {
         self.peers
             .retain(|_, peer| now.duration_since(peer.seen) < SPOKEN_TO_FOR);
@@ -194,12 +194,17 @@
         let count = self.peers.len();
         let skip = self.turn % count.max(1);
         let began = *self.began.get_or_insert(now);
-        let told = match now.duration_since(began) < EARLY {
-            true => TOLD_EARLY,
-            false => TOLD,
+        let addresses = match now.duration_since(began) < EARLY {
+            true => ADDRESSES_EARLY,
+            false => ADDRESSES,
         };
-        self.turn = self.turn.wrapping_add(told);
-        let peers = self.peers.iter().cycle().skip(skip).take(count.min(told));
+        self.turn = self.turn.wrapping_add(addresses);
+        let peers = self
+            .peers
+            .iter()
+            .cycle()
+            .skip(skip)
+            .take(count.min(addresses));
         let contacts = peers.map(|(address, peer)| Contact {
             address: *address,
             zone: peer.zone.clone(),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -83,7 +83,7 @@
     /// Wait: an upstream will be free or usable soon.
     Wait,
     /// No upstream serves it.
-    Nowhere,
+    NoUpstream,
 }
 
 /// Chooses an engine for a request whose prompt begins with a shared one: the
@@ -126,7 +126,7 @@
     match near.or_else(far).or(least) {
         Some((index, it)) if it.load < it.slots.saturating_mul(2) => Choice::Send(*index),
         Some(_) => Choice::Wait,
-        None => Choice::Nowhere,
+        None => Choice::NoUpstream,
     }
 }
 
@@ -149,7 +149,7 @@
     match near.min_by(least).or_else(|| turned().min_by(least)) {
         Some((index, it)) if it.load < it.slots.saturating_mul(PLAIN_LOAD) => Choice::Send(*index),
         Some(_) => Choice::Wait,
-        None => Choice::Nowhere,
+        None => Choice::NoUpstream,
     }
 }
 
@@ -160,7 +160,7 @@
     may_try: bool,
 ) -> Result<Vec<(usize, &'b Candidate<'a>)>, Choice> {
     if candidates.is_empty() {
-        return Err(Choice::Nowhere);
+        return Err(Choice::NoUpstream);
     }
     let bears = |it: &Candidate<'_>| it.cold_room != Some(0);
     let is_good = |it: &Candidate<'_>| match it.usage {
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::boot;
-use crate::gateway::follow::Lost;
+use crate::gateway::follow;
 use crate::gateway::follow::STALE;
 use crate::gateway::follow::follow;
 use crate::gateway::follow::follow_any;
@@ -47,7 +47,7 @@
 /// Time between two looks whether this host fell behind others.
 const CATCH_UP: Duration = Duration::from_millis(300);
 
-/// How long a host that heard of a later revision waits for it on its usual way.
+/// How long a host that learns of a later revision waits for its regular source.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(150);
 
 /// The least time between two watches in a large fleet: many changes come in
@@ -81,12 +81,12 @@
 /// does, until the process stops.
 pub async fn catch_up(state: Arc<State>) {
     loop {
-        let heard = tokio::select! {
+        let is_notified = tokio::select! {
             () = state.stop.cancelled() => return,
             () = state.behind.notified() => true,
             () = tokio::time::sleep(CATCH_UP) => false,
         };
-        if heard {
+        if is_notified {
             tokio::time::sleep(CATCH_UP_PAUSE).await;
         }
         let now = Instant::now();
@@ -229,7 +229,9 @@
     };
     let followed = match leader {
         Some(leader) => follow(state, leader, FOLLOW).await,
-        None => Err(Lost::Refused(http::StatusCode::SERVICE_UNAVAILABLE)),
+        None => Err(follow::Fault::Refused(
+            http::StatusCode::SERVICE_UNAVAILABLE,
+        )),
     };
     if let Err(lost) = followed {
         info!(leader = leader.map(|it| it.to_string()), %lost, "peers: can't follow");
--- a/src/gateway/warm.rs
+++ b/src/gateway/warm.rs
@@ -1,7 +1,7 @@
 //! Which upstreams read a prompt lately, at any host.
 //!
 //! Answers the load of prompts that many requests share: reading one again costs
-//! more than a longer batch. Hosts tell each other where they sent requests, so
+//! more than a longer batch. Hosts exchange where they sent requests, so
 //! that a prompt stays where it is when upstreams come and go, which the order
 //! of rendezvous hashing alone would not give.
 
@@ -18,14 +18,14 @@
 /// The most prompts remembered.
 const PROMPTS: usize = 16_384;
 
-/// The most placements kept to be told.
-const NEWS: usize = 48;
+/// The most placements that wait to be sent to other hosts.
+const UPDATES: usize = 48;
 
 /// Where prompts were sent.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     prompts: BTreeMap<u64, BTreeMap<ident::Upstream, Instant>>,
-    news: Vec<(u64, ident::Upstream)>,
+    updates: Vec<(u64, ident::Upstream)>,
 }
 
 impl Table {
@@ -48,12 +48,12 @@
     pub fn record(&mut self, now: Instant, prompt: u64, upstream: &ident::Upstream) -> bool {
         let is_new = !self.holds(now, prompt, upstream);
         self.learn(now, prompt, upstream);
-        let is_told = self
-            .news
+        let is_pending = self
+            .updates
             .iter()
             .any(|(it, to)| *it == prompt && to == upstream);
-        if !is_told && self.news.len() < NEWS {
-            self.news.push((prompt, upstream.clone()));
+        if !is_pending && self.updates.len() < UPDATES {
+            self.updates.push((prompt, upstream.clone()));
         }
         is_new
     }
@@ -68,8 +68,8 @@
     }
 
     /// Returns the placements of this host since the last call.
-    pub fn take_news(&mut self) -> Vec<(u64, ident::Upstream)> {
-        std::mem::take(&mut self.news)
+    pub fn take_updates(&mut self) -> Vec<(u64, ident::Upstream)> {
+        std::mem::take(&mut self.updates)
     }
 
     /// Forgets an upstream that is gone or was started anew.
--- a/src/mirror/table.rs
+++ b/src/mirror/table.rs
@@ -95,7 +95,7 @@
         changes
     }
 
-    /// Applies the changes up to a revision, told by an answer whose request
+    /// Applies the changes up to a revision, from an answer whose request
     /// began at `as_of`, and returns those that were new.
     pub fn apply(&mut self, events: Vec<Event>, revision: u64, as_of: boot::Instant) -> Vec<Event> {
         if revision < self.revision {
--- a/tests/gateway_place.rs
+++ b/tests/gateway_place.rs
@@ -180,5 +180,5 @@
         candidate.load = 18;
     }
     assert_eq!(place::plain(0.5, &all, true), Choice::Wait);
-    assert_eq!(place::plain(0.5, &[], true), Choice::Nowhere);
+    assert_eq!(place::plain(0.5, &[], true), Choice::NoUpstream);
 }
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -232,9 +232,9 @@
     let address = |last| Ipv4Addr::new(10, 0, 0, last);
     let mut table = peers::Table::new(address(1), Vec::new());
     assert_eq!(table.silence(Instant::now(), &"z1".into()), None);
-    table.hear(Instant::now(), address(2), word(2));
+    table.receive(Instant::now(), address(2), announcement(2));
     tokio::time::advance(Duration::from_millis(300)).await;
-    table.hear(Instant::now(), address(3), word(3));
+    table.receive(Instant::now(), address(3), announcement(3));
     tokio::time::advance(Duration::from_millis(200)).await;
     let silence = table.silence(Instant::now(), &"z1".into());
     assert_eq!(silence, Some(Duration::from_millis(200)));
@@ -254,8 +254,8 @@
     let mut loads = load::Table::default();
     let id = "u1".into();
     loads.begin(&id);
-    loads.tell(Instant::now(), 7, [(id.clone(), 3)].into());
-    loads.tell(Instant::now(), 7, [(id.clone(), 2)].into());
+    loads.report(Instant::now(), 7, [(id.clone(), 3)].into());
+    loads.report(Instant::now(), 7, [(id.clone(), 2)].into());
     assert_eq!(loads.total(&id), 3);
     tokio::time::advance(Duration::from_secs(3)).await;
     loads.expire(Instant::now());
@@ -264,8 +264,8 @@
     assert_eq!(loads.total(&id), 0);
 }
 
-fn word(process: u64) -> peers::Word {
-    peers::Word {
+fn announcement(process: u64) -> peers::Announcement {
+    peers::Announcement {
         zone: "z1".into(),
         process,
         is_leaving: false,
@@ -281,9 +281,9 @@
     let other = Ipv4Addr::new(10, 0, 0, 2);
     let mut table = peers::Table::new(own, vec![own, other]);
     assert_eq!(table.targets(Instant::now()), vec![(other, None)]);
-    assert!(table.hear(Instant::now(), other, word(5)));
-    assert!(!table.hear(Instant::now(), other, word(5)));
-    assert!(table.hear(Instant::now(), other, word(6)));
+    assert!(table.receive(Instant::now(), other, announcement(5)));
+    assert!(!table.receive(Instant::now(), other, announcement(5)));
+    assert!(table.receive(Instant::now(), other, announcement(6)));
     tokio::time::advance(Duration::from_secs(10)).await;
     assert_eq!(table.live(Instant::now()).count(), 0);
     assert_eq!(table.sharing(Instant::now()), 2);
@@ -301,9 +301,9 @@
         zone: "z1".into(),
         silent_ms,
     };
-    table.learn(now, &contact(2, 100));
-    table.learn(now, &contact(3, 100_000));
-    table.learn(now, &contact(1, 0));
+    table.add(now, &contact(2, 100));
+    table.add(now, &contact(3, 100_000));
+    table.add(now, &contact(1, 0));
     let targets = table.targets(now);
     assert_eq!(targets, vec![(address(2), Some("z1".into()))]);
     // Hearsay doesn't make a host live.
@@ -316,8 +316,8 @@
     let id = "u1".into();
     assert!(warm.record(Instant::now(), 9, &id));
     assert!(!warm.record(Instant::now(), 9, &id));
-    assert_eq!(warm.take_news(), vec![(9, id.clone())]);
-    assert!(warm.take_news().is_empty());
+    assert_eq!(warm.take_updates(), vec![(9, id.clone())]);
+    assert!(warm.take_updates().is_empty());
     assert!(warm.holds(Instant::now(), 9, &id));
     warm.forget(&id);
     assert!(!warm.holds(Instant::now(), 9, &id));
