Let a host that slept serve only once its configuration is level with its peers'

Cause: a host that wakes doubts itself until a peer is heard again, which takes half a beat. It pulls the values that a peer is ahead with every 250 ms. Ruled out: entries of other hosts (they had the new rules and name no upstream of the zone), the process's clock (the monotonic clock goes on while it is stopped, and an overdue tick casts doubt before it runs), requests admitted before the tick (admission asks for the standing again after the wait). Change: a suspect host stays suspect while an accepted peer reports a later configuration, for four leases at most, as the gate of a starting host does. Not covered: a datagram that waited in the socket for longer than half a beat after waking still counts as an answer; not seen.

--- a/src/daemon/beat.rs
+++ b/src/daemon/beat.rs
@@ -140,7 +140,12 @@
         if !state.plan().is_ready() {
             lock(&state.view).hold(now);
         }
-        let changes = lock(&state.view).tick(now);
+        let held = *lock(&state.held);
+        let changes = {
+            let mut view = lock(&state.view);
+            view.set_held(held);
+            view.tick(now)
+        };
         apply(&state, &changes);
         home::reconcile(&state);
         sleep(TICK_PERIOD).await;
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -26,6 +26,7 @@
 use tokio::time::Instant;
 
 use crate::ident;
+use crate::member::held::Held;
 use crate::member::incarnation::Incarnation;
 use crate::member::listing::Listing;
 use crate::member::neighbour::Neighbour;
@@ -64,6 +65,7 @@
     listed: Option<Vec<Listing>>,
     electors: BTreeSet<ident::Host>,
     answered: BTreeSet<ident::Host>,
+    held: Held,
     relayed: BTreeMap<ident::Zone, Summary>,
     counts: Counts,
 }
@@ -104,6 +106,7 @@
             listed: None,
             electors: BTreeSet::new(),
             answered: BTreeSet::new(),
+            held: Held::default(),
             relayed: BTreeMap::new(),
             counts: Counts::default(),
         }
--- a/src/member/view/command.rs
+++ b/src/member/view/command.rs
@@ -10,6 +10,7 @@
 use crate::member::beat::Report;
 use crate::member::beat::State;
 use crate::member::change::Change;
+use crate::member::held::Held;
 use crate::member::listing::Listing;
 use crate::member::neighbour::Neighbour;
 use crate::member::peer::Fate;
@@ -42,6 +43,11 @@
         self.listed = Some(list.to_vec());
     }
 
+    /// Notes which configuration the own host has in force.
+    pub fn set_held(&mut self, held: Held) {
+        self.held = held;
+    }
+
     /// Takes in a heartbeat of a host of the zone.
     pub fn hear(&mut self, now: Instant, from: SocketAddr, digest: &Digest) -> Vec<Change> {
         let host = &digest.from.host;
--- a/src/member/view/stand.rs
+++ b/src/member/view/stand.rs
@@ -7,6 +7,10 @@
 use crate::member::standing::Standing;
 use crate::member::view::View;
 
+/// How many leases a host that woke waits for a configuration that a peer has,
+/// as many as a starting host waits at its gate.
+const BEHIND_LEASES: u32 = 4;
+
 impl View {
     /// Notes that a peer was heard while the host doubts itself.
     ///
@@ -35,6 +39,7 @@
             Standing::Starting { since } if self.has_settled(now, since) && !deaf => {
                 Standing::Steady
             }
+            Standing::Suspect { since } if self.is_behind(now, since) => self.standing,
             Standing::Suspect { since } if self.is_answered(now, since) => match deaf {
                 true => Standing::Unheard { since: now },
                 false => Standing::Steady,
@@ -61,6 +66,15 @@
         majority || now.duration_since(since) > self.timing.lease
     }
 
+    /// A peer has a later configuration in force; after some leases it counts
+    /// as one that can't be asked.
+    fn is_behind(&self, now: Instant, since: Instant) -> bool {
+        now.duration_since(since) <= self.timing.lease * BEHIND_LEASES
+            && self
+                .digests()
+                .any(|digest| digest.held.is_ahead(&self.held))
+    }
+
     /// Most of the live peers say that they don't hear or accept this host.
     fn is_deaf_majority(&self) -> bool {
         let (heard, reports) = match self.place {
--- a/tests/member_home.rs
+++ b/tests/member_home.rs
@@ -9,6 +9,7 @@
 use masticmoor::ident;
 use masticmoor::member::change::Change;
 use masticmoor::member::standing::Standing;
+use masticmoor::revision::Revision;
 use net::LATE;
 use net::Net;
 use net::STEP;
@@ -125,6 +126,55 @@
     assert_eq!(net.live(&host_name(0, 0), 0).len(), 4);
 }
 
+fn set_rules(net: &mut Net, host: &ident::Host, revision: u64) {
+    let node = net.nodes.get_mut(host).expect("it runs");
+    node.report.held.rules = Revision(revision);
+}
+
+/// Its peers answer at once, the rules that changed meanwhile take longer.
+#[rstest]
+#[case(2_100, 1)]
+#[case(3_000, 2)]
+#[case(9_000, 3)]
+#[case(60_000, 4)]
+fn a_paused_host_admits_nothing_by_rules_that_its_peers_replaced(
+    #[case] pause_ms: u64,
+    #[case] seed: u64,
+) {
+    const BEHIND: Duration = Duration::from_secs(5);
+    let mut net = Net::new(1, 4, seed);
+    net.run(Duration::from_secs(8));
+    let late = host_name(0, 2);
+    net.pause(&late, Duration::from_millis(pause_ms));
+    for host in net.hosts_of(0) {
+        if host != late {
+            set_rules(&mut net, &host, 2);
+        }
+    }
+    let mut early = Duration::ZERO;
+    net.run_with(Duration::from_millis(pause_ms) + BEHIND, |net| {
+        let is_behind = net.is_awake(&late) && net.nodes[&late].view.admits(net.now);
+        early = span(early, is_behind);
+    });
+    assert_eq!(early, Duration::ZERO);
+    set_rules(&mut net, &late, 2);
+    net.run(LATE);
+    assert!(net.nodes[&late].view.admits(net.now));
+}
+
+#[test]
+fn a_paused_host_whose_peers_stay_ahead_serves_again_in_the_end() {
+    let mut net = Net::new(1, 3, 1);
+    net.run(Duration::from_secs(8));
+    let late = host_name(0, 0);
+    net.pause(&late, Duration::from_secs(9));
+    set_rules(&mut net, &host_name(0, 1), 2);
+    net.run(Duration::from_secs(9) + TIMING.lease * 4);
+    assert!(!net.nodes[&late].view.admits(net.now));
+    net.run(LATE);
+    assert!(net.nodes[&late].view.admits(net.now));
+}
+
 #[test]
 fn an_overdue_tick_casts_doubt_before_the_tick_runs() {
     let mut net = Net::new(1, 3, 1);
