Copy prompts from engines that are suspect, too

Ruled out: lost messages between hosts (the holder was known), evicted prompts (the engines' memory was never full). Change: the choice of the engine to copy from is a decision of its own (place::holder); only engines that can't be reached are left out. The two new cases of the test failed with the old rule.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -154,7 +154,7 @@
     }
 
     /// Returns another engine that holds more of a request's prompt than the
-    /// upstream does, one that leaves before others: its prompts are lost with it.
+    /// upstream does.
     fn holder(
         &self,
         now: Instant,
@@ -167,12 +167,16 @@
         let missing = job.beginnings.iter();
         let mut missing = missing.take_while(|key| !warm.holds(now, **key, upstream));
         missing.find_map(|key| {
-            let holders = warm.holders(now, *key).filter(|it| *it != upstream);
-            let sound = holders.filter(|it| health.usage(now, it) == Use::Good);
-            let listed = sound.filter_map(|it| view.upstream(it));
-            let listed = listed.filter(|known| known.lapses_at.is_none());
-            let best = listed.max_by_key(|known| known.upstream.is_draining);
-            best.map(|known| known.upstream.address)
+            let others = warm.holders(now, *key).filter(|it| *it != upstream);
+            let listed = others.filter_map(|it| view.upstream(it));
+            let listed: Vec<_> = listed.filter(|it| it.lapses_at.is_none()).collect();
+            let holders = listed.iter().map(|known| place::Holder {
+                usage: health.usage(now, &known.upstream.id),
+                is_draining: known.upstream.is_draining,
+            });
+            let holders: Vec<_> = holders.collect();
+            let known = listed.get(place::holder(&holders)?)?;
+            Some(known.upstream.address)
         })
     }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -75,6 +75,15 @@
     pub tokens: u64,
 }
 
+/// An engine that holds more of a request's prompt than the one that runs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// How it may be used.
+    pub usage: Use,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+}
+
 /// What to do with a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -130,6 +139,17 @@
     }
 }
 
+/// Chooses the engine that a prompt is copied from: one that leaves before
+/// others, as its prompts are lost with it, then one that is well. Answers engines
+/// that bursts make slow and suspect: what they hold is still there, and a
+/// copy takes little of their time.
+pub fn holder(holders: &[Holder]) -> Option<usize> {
+    let reachable = holders.iter().enumerate();
+    let reachable = reachable.filter(|(_, it)| it.usage != Use::Down);
+    let best = reachable.max_by_key(|(_, it)| (it.is_draining, it.usage == Use::Good));
+    best.map(|(index, _)| index)
+}
+
 /// Chooses a plain upstream: the least loaded, the caller's zone first as long
 /// as it is far from full. `draw` is even in 0..1 and breaks ties.
 pub fn plain(draw: f64, candidates: &[Candidate<'_>], may_try: bool) -> Choice {
--- a/tests/gateway_place.rs
+++ b/tests/gateway_place.rs
@@ -4,6 +4,7 @@
 use masticmoor::gateway::place;
 use masticmoor::gateway::place::Candidate;
 use masticmoor::gateway::place::Choice;
+use masticmoor::gateway::place::Holder;
 use masticmoor::gateway::place::Prompt;
 use masticmoor::ident::Upstream;
 use rstest::rstest;
@@ -182,3 +183,24 @@
     assert_eq!(place::plain(0.5, &all, true), Choice::Wait);
     assert_eq!(place::plain(0.5, &[], true), Choice::NoUpstream);
 }
+
+fn holder(usage: Use, is_draining: bool) -> Holder {
+    Holder { usage, is_draining }
+}
+
+#[rstest]
+#[case::none(vec![], None)]
+#[case::slow_is_better_than_none(vec![holder(Use::Suspect, false)], Some(0))]
+#[case::on_trial(vec![holder(Use::Trial, false)], Some(0))]
+#[case::unreachable(vec![holder(Use::Down, false), holder(Use::Down, true)], None)]
+#[case::well_before_slow(
+    vec![holder(Use::Suspect, false), holder(Use::Good, false), holder(Use::Suspect, false)],
+    Some(1)
+)]
+#[case::leaving_before_staying(vec![holder(Use::Good, false), holder(Use::Good, true)], Some(1))]
+fn a_prompt_is_copied_from_an_engine_that_can_be_reached(
+    #[case] holders: Vec<Holder>,
+    #[case] chosen: Option<usize>,
+) {
+    assert_eq!(place::holder(&holders), chosen);
+}
