Let zones of very large fleets tell each other through two hosts each

Each host spoke to each of another zone, up to fifty times a second while updates were urgent; and at the start of a fleet each host copied the whole store from the host with the latest revision, in whatever zone. Ruled out: forwarded requests (they grow with the load, which was the same a host). Change: from 128 hosts on a host speaks to its zone; two hosts of a zone send each other zone a summary once a second (loads of the zone, suspects, strikes, prompts, contacts), which the receiver passes on. A host that starts speaks to all for 6 s; one that is asked answers with hosts of the asker's zone. Urgent messages have a limit by the second there. A host that lags asks its own zone first. Datagrams have a form of their own, version 2. Fleets below 128 hosts speak as before.

--- /dev/null
+++ b/src/gateway/datagram.rs
@@ -0,0 +1,232 @@
+//! The form of what hosts send each other as datagrams.
+//!
+//! A host tells its zone about itself in a [`Message`]. In a large fleet a
+//! [`Summary`] tells another zone about a whole zone; the host that receives it
+//! passes it on unchanged to its own.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::gateway::load;
+use crate::gateway::peers;
+use crate::gateway::peers::Contact;
+use crate::ident;
+use crate::log::millis;
+use crate::policy::strike::Strike;
+
+/// The version of the form.
+pub const VERSION: u8 = 2;
+
+/// The longest datagram, in bytes: one that isn't sent in fragments.
+pub const DATAGRAM_BYTES: usize = 1_400;
+
+/// The upstreams of which one part of a summary tells, so that it fits a datagram
+/// with usual names.
+const SUMMARY_UPSTREAMS: usize = 48;
+
+/// The prompts of which one part of a summary tells.
+const SUMMARY_PROMPTS: usize = 40;
+
+/// Where prompts were sent.
+pub type Prompts = Vec<(u64, ident::Upstream)>;
+
+/// What a host says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sender {
+    /// The run of its process.
+    pub process: u64,
+    /// Its zone.
+    pub zone: ident::Zone,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// The revision of the store that it holds.
+    pub revision: u64,
+    /// The age of what it holds, in milliseconds, if it holds anything.
+    pub age_ms: Option<u64>,
+    /// The speed of its link, in Mbit/s.
+    pub link_mbps: u32,
+}
+
+/// What a host tells others of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who tells it.
+    pub sender: Sender,
+    /// Whether it has just started and may not know its zone.
+    pub is_settling: bool,
+    /// Requests under way, by upstream.
+    pub loads: Vec<(ident::Upstream, u32)>,
+    /// Suspect upstreams, for how many milliseconds more, and whether they can't be
+    /// reached.
+    pub suspects: Vec<(ident::Upstream, u64, bool)>,
+    /// Requests that lost upstreams.
+    pub strikes: Vec<Strike>,
+    /// Where it sent prompts.
+    pub prompts: Prompts,
+    /// Hosts that it knows.
+    pub contacts: Vec<Contact>,
+}
+
+/// A part of what a zone tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The host that sent it to the other zone.
+    pub sender: Sender,
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Which part of the zone's upstreams the loads cover, of how many.
+    pub part: (u32, u32),
+    /// Requests under way from the whole zone, by upstream.
+    pub loads: Vec<(ident::Upstream, u32)>,
+    /// As in a message.
+    pub suspects: Vec<(ident::Upstream, u64, bool)>,
+    /// As in a message.
+    pub strikes: Vec<Strike>,
+    /// Where the zone sent prompts.
+    pub prompts: Prompts,
+    /// Hosts that the sender knows.
+    pub contacts: Vec<Contact>,
+}
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Of one host.
+    Message(Message),
+    /// Of a zone.
+    Summary(Summary),
+}
+
+/// Why a datagram can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// It has another version.
+    #[error("form has version {0}")]
+    Version(u8),
+    /// It is empty.
+    #[error("datagram is empty")]
+    Empty,
+    /// It isn't what it should be.
+    #[error("datagram can't be decoded: {0}")]
+    Decode(#[from] rmp_serde::decode::Error),
+}
+
+impl Sender {
+    /// Returns what the table of hosts keeps of it.
+    pub fn announcement(&self) -> peers::Announcement {
+        peers::Announcement {
+            zone: self.zone.clone(),
+            process: self.process,
+            is_leaving: self.is_leaving,
+            revision: self.revision,
+            age: self.age_ms.map(Duration::from_millis),
+            link_mbps: self.link_mbps,
+        }
+    }
+}
+
+impl Message {
+    /// Encodes a message; leaves out what a datagram doesn't hold. Loads matter
+    /// most; the rest comes again with a later message.
+    pub fn encode(mut self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        loop {
+            let bytes = encode(&Datagram::Message(self.clone()))?;
+            match bytes.len() <= DATAGRAM_BYTES {
+                true => return Ok(bytes),
+                false if self.contacts.pop().is_some() => {}
+                false if self.strikes.pop().is_some() => {}
+                false if self.prompts.pop().is_some() => {}
+                false if self.loads.pop().is_some() => {}
+                false => return Ok(bytes),
+            }
+        }
+    }
+}
+
+impl Summary {
+    /// Names the part of a zone's loads that the summary replaces.
+    pub fn source(&self) -> load::Source {
+        let zone = xxh3_64(self.sender.zone.as_str().as_bytes());
+        load::Source::Zone(zone, self.part.0, self.part.1)
+    }
+
+    /// Encodes a summary as parts that each fit a datagram. Upstreams stay in their
+    /// part as long as the number of those in use doesn't change much.
+    pub fn encode(
+        mut self,
+        mut prompts: Prompts,
+    ) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
+        let parts = self.loads.len().div_ceil(SUMMARY_UPSTREAMS);
+        let parts = parts.max(1).next_power_of_two();
+        let parts = u32::try_from(parts).unwrap_or(u32::MAX);
+        let mut loads: BTreeMap<u32, Vec<_>> = BTreeMap::new();
+        for (upstream, count) in std::mem::take(&mut self.loads) {
+            let part = xxh3_64(upstream.as_str().as_bytes()) % u64::from(parts);
+            let part = u32::try_from(part).unwrap_or_default();
+            loads.entry(part).or_default().push((upstream, count));
+        }
+        let mut datagrams = Vec::new();
+        for part in 0..parts {
+            let mut summary = Self {
+                part: (part, parts),
+                loads: loads.remove(&part).unwrap_or_default(),
+                ..self.clone()
+            };
+            datagrams.push(summary.fit()?);
+            // What concerns no part is told once.
+            self.suspects.clear();
+            self.strikes.clear();
+            self.contacts.clear();
+        }
+        while !prompts.is_empty() {
+            let rest = prompts.split_off(prompts.len().min(SUMMARY_PROMPTS));
+            let summary = Self {
+                part: (parts, parts),
+                prompts: std::mem::replace(&mut prompts, rest),
+                ..self.clone()
+            };
+            datagrams.push(encode(&Datagram::Summary(summary))?);
+        }
+        Ok(datagrams)
+    }
+
+    fn fit(&mut self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        loop {
+            let bytes = encode(&Datagram::Summary(self.clone()))?;
+            match bytes.len() <= DATAGRAM_BYTES {
+                true => return Ok(bytes),
+                false if self.contacts.pop().is_some() => {}
+                false if self.strikes.pop().is_some() => {}
+                false if self.suspects.pop().is_some() => {}
+                false => return Ok(bytes),
+            }
+        }
+    }
+}
+
+fn encode(datagram: &Datagram) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let mut bytes = vec![VERSION];
+    rmp_serde::encode::write(&mut bytes, datagram)?;
+    Ok(bytes)
+}
+
+/// Decodes a datagram.
+pub fn decode(bytes: &[u8]) -> Result<Datagram, Fault> {
+    match bytes {
+        [VERSION, body @ ..] => Ok(rmp_serde::from_slice(body)?),
+        [version, ..] => Err(Fault::Version(*version)),
+        [] => Err(Fault::Empty),
+    }
+}
+
+/// Returns suspects in the form of a datagram.
+pub fn suspects(of: Vec<(ident::Upstream, Duration, bool)>) -> Vec<(ident::Upstream, u64, bool)> {
+    let of = of.into_iter();
+    of.map(|(upstream, left, is_down)| (upstream, millis(left), is_down))
+        .collect()
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -65,23 +65,13 @@
     Stale(Duration),
 }
 
-/// Asks the host with the latest copy, as far as its messages say, preferably of this zone.
+/// Asks a host that is ahead or up to date, as far as its messages say, preferably
+/// of this zone.
 pub async fn follow_any(state: &Arc<State>) {
     let now = Instant::now();
     let zone = &state.options.host.zone;
-    let own = lock(&state.mirror).revision();
-    let leader = {
-        let peers = lock(&state.peers);
-        let live = peers.live(now).filter_map(|(address, peer)| {
-            let age = peer.age(now)?;
-            let is_useful = age < STALE || peer.revision > own;
-            is_useful.then_some((address, peer, age))
-        });
-        let best = live.max_by_key(|(_, peer, age)| {
-            (peer.revision, peer.zone == *zone, std::cmp::Reverse(*age))
-        });
-        best.map(|(address, _, _)| *address)
-    };
+    let revision = lock(&state.mirror).revision();
+    let leader = lock(&state.peers).ahead(now, zone, revision, STALE);
     if let Some(leader) = leader
         && let Err(lost) = follow(state, leader, Duration::ZERO).await
     {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -2,34 +2,35 @@
 //! upstreams, which hold which prompt, which were lost, which requests crash
 //! them.
 
-use std::collections::VecDeque;
 use std::io;
 use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use tracing::info;
 use tracing::warn;
 
 use crate::boot;
-use crate::gateway::peers;
-use crate::gateway::peers::Contact;
+use crate::gateway::datagram;
+use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::Message;
+use crate::gateway::datagram::Prompts;
+use crate::gateway::datagram::Sender;
+use crate::gateway::datagram::Summary;
+use crate::gateway::health::Scope;
+use crate::gateway::load;
+use crate::gateway::peers::Contacts;
+use crate::gateway::relay;
+use crate::gateway::relay::Own;
+use crate::gateway::relay::Relay;
+use crate::gateway::relay::Round;
 use crate::gateway::state::State;
-use crate::ident;
 use crate::lock::lock;
 use crate::log::millis;
-use crate::policy::strike::Strike;
-
-/// The version of the form of messages.
-const VERSION: u8 = 1;
-
-/// The longest message, in bytes: one that fits a datagram without fragments.
-const MESSAGE_BYTES: usize = 1_400;
 
 /// The most strikes in a message.
 const STRIKES: usize = 8;
@@ -37,54 +38,36 @@
 /// Messages that a host sends a second at most. Larger fleets speak more seldom.
 const MESSAGES_PER_SECOND: f64 = 60.0;
 
-/// Messages to other zones are this many times as seldom in a large fleet.
-const FAR_TURNS: usize = 5;
-
-/// Hosts from which on messages to other zones are less frequent.
-const LARGE_FLEET: usize = 16;
-
 /// The least time between two messages for urgent updates.
 const URGENT_PAUSE: Duration = Duration::from_millis(20);
 
-/// A message to other hosts.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    version: u8,
-    process: u64,
-    zone: ident::Zone,
-    is_leaving: bool,
-    revision: u64,
-    age_ms: Option<u64>,
-    link_mbps: u32,
-    loads: Vec<(ident::Upstream, u32)>,
-    suspects: Vec<(ident::Upstream, u64, bool)>,
-    strikes: Vec<Strike>,
-    prompts: Vec<(u64, ident::Upstream)>,
-    contacts: Vec<Contact>,
-}
+/// Messages that a host sends a second at most while updates are urgent.
+const URGENT_PER_SECOND: f64 = 1_000.0;
 
 /// Sends and receives messages until the process stops.
 pub async fn run(state: Arc<State>, socket: UdpSocket) {
     let mut buffer = vec![0; 64 * 1024];
     let mut next = Instant::now();
-    let mut turn = Turn::default();
+    let mut earliest = next;
+    let mut relay = Relay::default();
     loop {
         tokio::select! {
             () = state.stop.cancelled() => return,
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     let bytes = buffer.get(..length).unwrap_or_default();
-                    receive(&state, from, bytes);
+                    if receive(&state, from, bytes, &mut relay) {
+                        pass_on(&state, &socket, bytes).await;
+                    }
                 }
                 Err(error) => warn!(%error, "peers: can't receive"),
             },
             () = tokio::time::sleep_until(next) => {
-                let count = send(&state, &socket, &mut turn).await;
-                next = Instant::now() + pause(&state, count);
-            }
-            () = state.urgent.notified() => {
-                next = next.min(Instant::now() + URGENT_PAUSE);
+                let sent = send(&state, &socket, &mut relay).await;
+                next = Instant::now() + pause(&state, sent.count);
+                earliest = Instant::now() + urgent_pause(&sent);
             }
+            () = state.urgent.notified() => next = next.min(earliest),
         }
     }
 }
@@ -95,145 +78,244 @@
     least.max(Duration::from_secs_f64(hosts as f64 / MESSAGES_PER_SECOND))
 }
 
-/// Sends a message to all hosts of this zone, and to those of other zones whose turn it is.
-async fn send(state: &State, socket: &UdpSocket, turn: &mut Turn) -> usize {
+/// Returns the least time to the next message.
+fn urgent_pause(sent: &Sent) -> Duration {
+    let pause = Duration::from_secs_f64(sent.count as f64 / URGENT_PER_SECOND);
+    match sent.is_relayed {
+        true => URGENT_PAUSE.max(pause),
+        false => URGENT_PAUSE,
+    }
+}
+
+/// Sends what is due now.
+async fn send(state: &State, socket: &UdpSocket, relay: &mut Relay) -> Sent {
     let now = Instant::now();
     lock(&state.loads).expire(now);
-    let targets = lock(&state.peers).targets(now);
-    let is_large = targets.len() >= LARGE_FLEET;
-    let own = &state.options.host.zone;
-    let near = |zone: &Option<ident::Zone>| zone.as_ref() == Some(own);
-    let updates = lock(&state.warm).take_updates();
-    let all = turn.next(updates.clone());
-    let (near, far): (Vec<_>, Vec<_>) = targets.iter().partition(|(_, zone)| near(zone));
-    // Each host of another zone gets its message in a turn of its own.
-    let far = far.into_iter().enumerate();
-    let far = far.filter(|(index, _)| !is_large || turn.is_due(*index));
-    let far: Vec<_> = far.map(|(_, target)| target).collect();
-    let count = near.len() + far.len();
-    let far_updates = match is_large {
-        true => all,
-        false => updates.clone(),
+    let (round, is_relayed, is_settling) = {
+        let mut peers = lock(&state.peers);
+        let targets = peers.targets(now);
+        let round = relay.next(now, &own(state), &peers, &targets);
+        let is_relayed = relay::is_relayed(targets.len());
+        (round, is_relayed, peers.is_settling(now))
     };
-    for (targets, updates) in [(near, updates), (far, far_updates)] {
-        if targets.is_empty() {
-            continue;
+    let Round {
+        hosts,
+        strangers,
+        askers,
+        links,
+    } = round;
+    let count = hosts.len() + strangers.len() + askers.len() + links.len();
+    let prompts = lock(&state.warm).take_updates();
+    let recent = relay.learn_own(&prompts);
+    if let Some(bytes) = encode(message(state, now, prompts, Contacts::Some)) {
+        for address in hosts {
+            send_to(state, socket, address, &bytes).await;
+        }
+    }
+    if !strangers.is_empty()
+        && let Some(bytes) = encode(message(state, now, recent, Contacts::Some))
+    {
+        for address in strangers {
+            send_to(state, socket, address, &bytes).await;
+        }
+    }
+    for (address, zone) in askers {
+        let mut message = message(state, now, Vec::new(), Contacts::Near(&zone));
+        if !is_settling {
+            // They are in the summary of the zone.
+            message.loads.clear();
+        }
+        if let Some(bytes) = encode(message) {
+            send_to(state, socket, address, &bytes).await;
         }
-        let Some(bytes) = message(state, now, updates) else {
-            return count;
-        };
-        for (address, _) in targets {
-            let to = SocketAddr::new((*address).into(), state.options.gateway.gossip_port);
-            // A full link or a host that is down loses the message, as on the way.
-            if let Err(error) = socket.send_to(&bytes, to).await
-                && error.kind() != io::ErrorKind::ConnectionRefused
-            {
-                warn!(%error, %to, "peers: can't send");
+    }
+    if !links.is_empty() {
+        for bytes in summary(state, now, relay.take_prompts()) {
+            for address in &links {
+                send_to(state, socket, *address, &bytes).await;
             }
         }
     }
-    count
+    Sent { count, is_relayed }
 }
 
-type Updates = Vec<(u64, ident::Upstream)>;
+/// What was sent in a turn.
+struct Sent {
+    /// To how many hosts.
+    count: usize,
+    /// Whether the fleet is so large that zones tell each other.
+    is_relayed: bool,
+}
 
-/// Which hosts of other zones get a message, and the updates that they didn't get yet.
-#[derive(Debug, Default)]
-struct Turn {
-    number: usize,
-    updates: VecDeque<Updates>,
+/// Passes a summary of another zone on to this one.
+async fn pass_on(state: &State, socket: &UdpSocket, bytes: &[u8]) {
+    let near: Vec<Ipv4Addr> = {
+        let peers = lock(&state.peers);
+        let own = &state.options.host.zone;
+        let near = peers.live(Instant::now()).filter(|(_, it)| it.zone == *own);
+        near.map(|(address, _)| *address).collect()
+    };
+    for address in near {
+        send_to(state, socket, address, bytes).await;
+    }
+}
+
+async fn send_to(state: &State, socket: &UdpSocket, address: Ipv4Addr, bytes: &[u8]) {
+    let to = SocketAddr::new(address.into(), state.options.gateway.gossip_port);
+    // A full link or a host that is down loses the message, as on the way.
+    if let Err(error) = socket.send_to(bytes, to).await
+        && error.kind() != io::ErrorKind::ConnectionRefused
+    {
+        warn!(%error, %to, "peers: can't send");
+    }
 }
 
-impl Turn {
-    /// Begins a turn with the latest updates, and returns those of a whole round.
-    fn next(&mut self, updates: Updates) -> Updates {
-        self.number = self.number.wrapping_add(1);
-        self.updates.push_back(updates);
-        if self.updates.len() > FAR_TURNS {
-            self.updates.pop_front();
+fn encode(message: Message) -> Option<Vec<u8>> {
+    match message.encode() {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            warn!(%error, "peers: message can't be encoded");
+            None
         }
-        self.updates.iter().flatten().cloned().collect()
     }
+}
 
-    fn is_due(&self, index: usize) -> bool {
-        (index + self.number).is_multiple_of(FAR_TURNS)
+fn own(state: &State) -> Own<'_> {
+    Own {
+        address: state.address,
+        zone: &state.options.host.zone,
+        link_mbps: state.options.gateway.link_mbps,
     }
 }
 
-fn message(state: &State, now: Instant, prompts: Vec<(u64, ident::Upstream)>) -> Option<Vec<u8>> {
+fn sender(state: &State) -> Sender {
     let boot = boot::Instant::now();
     let (revision, age) = {
         let mirror = lock(&state.mirror);
         (mirror.revision(), mirror.age(boot))
     };
-    let contacts = lock(&state.peers).contacts(now);
-    let suspects = lock(&state.health).suspects(now);
-    let suspects = suspects.into_iter();
-    let suspects = suspects.map(|(upstream, left, is_down)| (upstream, millis(left), is_down));
-    let loads = lock(&state.loads).counts().clone();
-    let mut strikes = lock(&state.strikes).strikes(now);
-    strikes.truncate(STRIKES);
-    let mut message = Message {
-        version: VERSION,
+    Sender {
         process: state.process,
         zone: state.options.host.zone.clone(),
         is_leaving: state.draining.is_cancelled(),
         revision,
         age_ms: age.map(millis),
         link_mbps: state.options.gateway.link_mbps,
+    }
+}
+
+fn message(state: &State, now: Instant, prompts: Prompts, contacts: Contacts<'_>) -> Message {
+    let sender = sender(state);
+    let (contacts, is_settling) = {
+        let mut peers = lock(&state.peers);
+        (peers.contacts(now, contacts), peers.is_settling(now))
+    };
+    let suspects = lock(&state.health).suspects(now, Scope::Host);
+    let loads = lock(&state.loads).counts().clone();
+    let mut strikes = lock(&state.strikes).strikes(now);
+    strikes.truncate(STRIKES);
+    Message {
+        sender,
+        is_settling,
         loads: loads.into_iter().collect(),
-        suspects: suspects.collect(),
+        suspects: datagram::suspects(suspects),
         strikes,
         prompts,
         contacts,
+    }
+}
+
+/// Returns the datagrams that tell another zone about this one.
+fn summary(state: &State, now: Instant, prompts: Prompts) -> Vec<Vec<u8>> {
+    let message = message(state, now, Vec::new(), Contacts::Many);
+    let suspects = lock(&state.health).suspects(now, Scope::Zone);
+    let summary = Summary {
+        sender: message.sender,
+        address: state.address,
+        part: (0, 1),
+        loads: lock(&state.loads).hosts().into_iter().collect(),
+        suspects: datagram::suspects(suspects),
+        strikes: message.strikes,
+        prompts: Vec::new(),
+        contacts: message.contacts,
     };
-    loop {
-        let bytes = match rmp_serde::to_vec(&message) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                warn!(%error, "peers: message can't be encoded");
-                return None;
-            }
-        };
-        // Loads matter most; the rest comes again with the next message.
-        match bytes.len() <= MESSAGE_BYTES {
-            true => return Some(bytes),
-            false if message.contacts.pop().is_some() => {}
-            false if message.strikes.pop().is_some() => {}
-            false if message.prompts.pop().is_some() => {}
-            false if message.loads.pop().is_some() => {}
-            false => return Some(bytes),
+    match summary.encode(prompts) {
+        Ok(datagrams) => datagrams,
+        Err(error) => {
+            warn!(%error, "peers: summary can't be encoded");
+            Vec::new()
         }
     }
 }
 
-fn receive(state: &State, from: SocketAddr, bytes: &[u8]) {
+/// Takes in a datagram, and tells whether it is to be passed on to the zone.
+fn receive(state: &State, from: SocketAddr, bytes: &[u8], relay: &mut Relay) -> bool {
     let IpAddr::V4(address) = from.ip() else {
-        return;
+        return false;
     };
-    let message: Message = match rmp_serde::from_slice(bytes) {
-        Ok(message) => message,
-        Err(error) => return warn!(%error, %from, "peers: message can't be read"),
+    let datagram = match datagram::decode(bytes) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            warn!(%error, %from, "peers: message can't be read");
+            return false;
+        }
     };
-    if message.process == state.process || message.version != VERSION {
-        return;
+    let own = &state.options.host.zone;
+    match datagram {
+        Datagram::Message(message) if message.sender.process == state.process => false,
+        Datagram::Message(message) => {
+            let is_near = message.sender.zone == *own;
+            let (is_relayed, is_settling) = {
+                let now = Instant::now();
+                let peers = lock(&state.peers);
+                let others = peers.counted(now).count();
+                (relay::is_relayed(others), peers.is_settling(now))
+            };
+            let source = match is_near || !is_relayed {
+                true => load::Source::Host(message.sender.process),
+                false => load::Source::Stranger(message.sender.process),
+            };
+            match is_near {
+                true => relay.learn(&message.prompts),
+                false if message.is_settling && !is_settling => {
+                    relay.note_asker(address, &message.sender.zone);
+                }
+                false => {}
+            }
+            take(state, address, source, message, is_near);
+            false
+        }
+        Datagram::Summary(summary) if summary.sender.zone == *own => false,
+        Datagram::Summary(summary) => {
+            let is_direct = summary.address == address;
+            let source = summary.source();
+            let sender = summary.address;
+            let message = Message {
+                sender: summary.sender,
+                is_settling: false,
+                loads: summary.loads,
+                suspects: summary.suspects,
+                strikes: summary.strikes,
+                prompts: summary.prompts,
+                contacts: summary.contacts,
+            };
+            take(state, sender, source, message, false);
+            is_direct
+        }
     }
+}
+
+/// Takes in what a host tells of itself or of its zone.
+fn take(state: &State, address: Ipv4Addr, source: load::Source, message: Message, is_near: bool) {
     let now = Instant::now();
-    let announcement = peers::Announcement {
-        zone: message.zone,
-        process: message.process,
-        is_leaving: message.is_leaving,
-        revision: message.revision,
-        age: message.age_ms.map(Duration::from_millis),
-        link_mbps: message.link_mbps,
-    };
-    if message.revision > lock(&state.mirror).revision() {
+    let sender = message.sender;
+    if sender.revision > lock(&state.mirror).revision() {
         state.behind.notify_one();
     }
     {
         let mut peers = lock(&state.peers);
-        if peers.receive(now, address, announcement) {
-            info!(%address, process = message.process, "peers: new host");
+        if peers.receive(now, address, sender.announcement()) {
+            info!(%address, process = sender.process, "peers: new host");
         }
         for contact in &message.contacts {
             peers.add(now, contact);
@@ -242,11 +324,12 @@
     {
         let mut health = lock(&state.health);
         for (upstream, left, is_down) in &message.suspects {
-            health.merge(now, upstream, Duration::from_millis(*left), *is_down);
+            let left = Duration::from_millis(*left);
+            health.merge(now, upstream, left, *is_down, is_near);
         }
     }
     let loads = message.loads.into_iter().collect();
-    lock(&state.loads).report(now, message.process, loads);
+    lock(&state.loads).report(now, source, loads);
     {
         let mut warm = lock(&state.warm);
         for (prompt, upstream) in &message.prompts {
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -72,6 +72,8 @@
     unreached_at: Option<Instant>,
     /// Whether it is suspect since it can't be reached.
     is_unreached: bool,
+    /// Whether a host of the own zone said so last.
+    is_told_near: bool,
 }
 
 impl Default for Entry {
@@ -85,10 +87,20 @@
             answered_at: None,
             unreached_at: None,
             is_unreached: false,
+            is_told_near: false,
         }
     }
 }
 
+/// Which suspects to tell of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Those that this host found.
+    Host,
+    /// Those that hosts of this zone found.
+    Zone,
+}
+
 /// The results of requests at upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -182,6 +194,7 @@
         upstream: &ident::Upstream,
         left: Duration,
         is_unreached: bool,
+        is_near: bool,
     ) {
         let entry = self.entries.entry(upstream.clone()).or_default();
         let answered = entry.answered_at;
@@ -190,17 +203,18 @@
         if !answers_here && entry.suspect_until.is_none_or(|known| known < until) {
             entry.suspect_until = Some(until);
             entry.is_unreached = is_unreached;
+            entry.is_told_near = is_near;
         }
     }
 
     /// Returns the upstreams that are suspect now, with the time left, and whether
     /// they can't be reached.
-    pub fn suspects(&self, now: Instant) -> Vec<(ident::Upstream, Duration, bool)> {
+    pub fn suspects(&self, now: Instant, scope: Scope) -> Vec<(ident::Upstream, Duration, bool)> {
         let entries = self.entries.iter();
         let suspects = entries.filter_map(|(upstream, entry)| {
             let until = entry.suspect_until.filter(|until| *until > now)?;
-            let is_own = entry.score > 0.0;
-            is_own.then(|| (upstream.clone(), until - now, entry.is_unreached))
+            let is_told = entry.score > 0.0 || scope == Scope::Zone && entry.is_told_near;
+            is_told.then(|| (upstream.clone(), until - now, entry.is_unreached))
         });
         suspects.collect()
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -30,6 +30,10 @@
 /// How long hosts find each other after a start.
 const EARLY: Duration = Duration::from_secs(8);
 
+/// How long after a start a host may not know its zone: in a fleet of hundreds that
+/// starts whole, hosts need about that long to find each other.
+const SETTLING: Duration = Duration::from_secs(6);
+
 /// A host as other hosts know it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
@@ -41,6 +45,17 @@
     pub silent_ms: u64,
 }
 
+/// Which hosts to tell others of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contacts<'a> {
+    /// Some of all, more of them after a start.
+    Some,
+    /// More of all.
+    Many,
+    /// Those of the zone of one that asks.
+    Near(&'a ident::Zone),
+}
+
 /// A host that sent a message, or that another host knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -157,6 +172,26 @@
         })
     }
 
+    /// Returns the host to ask for what it holds of the store: one that holds a later
+    /// revision, or whose copy is younger than `stale`. One of the own zone comes
+    /// first, as a whole copy is large when hundreds of hosts start.
+    pub fn ahead(
+        &self,
+        now: Instant,
+        zone: &ident::Zone,
+        revision: u64,
+        stale: Duration,
+    ) -> Option<Ipv4Addr> {
+        let useful = self.live(now).filter_map(|(address, peer)| {
+            let age = peer.age(now)?;
+            (age < stale || peer.revision > revision).then_some((address, peer, age))
+        });
+        let best = useful.max_by_key(|(_, peer, age)| {
+            (peer.zone == *zone, peer.revision, std::cmp::Reverse(*age))
+        });
+        best.map(|(address, _, _)| *address)
+    }
+
     /// Returns the time since the last message of any host of a zone, if there was one.
     pub fn silence(&self, now: Instant, zone: &ident::Zone) -> Option<Duration> {
         let peers = self.peers.values().filter(|peer| peer.zone == *zone);
@@ -189,22 +224,21 @@
         known.chain(unknown.map(|seed| (*seed, None))).collect()
     }
 
-    /// Returns some hosts to tell others of, another part each time.
-    pub fn contacts(&mut self, now: Instant) -> Vec<Contact> {
-        let count = self.peers.len();
-        let skip = self.turn % count.max(1);
+    /// Returns some hosts to tell a zone of, another part each time.
+    pub fn contacts(&mut self, now: Instant, of: Contacts<'_>) -> Vec<Contact> {
         let began = *self.began.get_or_insert(now);
-        let addresses = match now.duration_since(began) < EARLY {
-            true => ADDRESSES_EARLY,
-            false => ADDRESSES,
+        let (most, zone) = match of {
+            Contacts::Some if now.duration_since(began) < EARLY => (ADDRESSES_EARLY, None),
+            Contacts::Some => (ADDRESSES, None),
+            Contacts::Many => (ADDRESSES_EARLY, None),
+            Contacts::Near(zone) => (ADDRESSES_EARLY, Some(zone)),
         };
-        self.turn = self.turn.wrapping_add(addresses);
-        let peers = self
-            .peers
-            .iter()
-            .cycle()
-            .skip(skip)
-            .take(count.min(addresses));
+        let told = |peer: &Peer| zone.is_none_or(|zone| peer.zone == *zone);
+        let told: Vec<_> = self.peers.iter().filter(|(_, peer)| told(peer)).collect();
+        let skip = self.turn % told.len().max(1);
+        self.turn = self.turn.wrapping_add(most);
+        let count = told.len().min(most);
+        let peers = told.into_iter().cycle().skip(skip).take(count);
         let contacts = peers.map(|(address, peer)| Contact {
             address: *address,
             zone: peer.zone.clone(),
@@ -212,4 +246,10 @@
         });
         contacts.collect()
     }
+
+    /// Tells whether this host started so recently that it may not know its zone.
+    pub fn is_settling(&self, now: Instant) -> bool {
+        let began = self.began;
+        began.is_none_or(|began| now.duration_since(began) < SETTLING)
+    }
 }
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -123,7 +123,7 @@
 }
 
 /// Orders the hosts of a zone: those with the fastest links read the store.
-fn rank(link_mbps: u32, address: &Ipv4Addr) -> (u32, u64) {
+pub fn rank(link_mbps: u32, address: &Ipv4Addr) -> (u32, u64) {
     (link_mbps, xxh3_64(&address.octets()))
 }
 
--- /dev/null
+++ b/tests/gateway_relay.rs
@@ -0,0 +1,268 @@
+//! What hosts of a gateway fleet tell each other, and through whom.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use masticmoor::gateway::datagram;
+use masticmoor::gateway::datagram::Datagram;
+use masticmoor::gateway::load;
+use masticmoor::gateway::peers;
+use masticmoor::gateway::peers::Contacts;
+use masticmoor::gateway::relay;
+use masticmoor::gateway::relay::Own;
+use masticmoor::gateway::relay::Relay;
+use masticmoor::gateway::relay::Round;
+use masticmoor::ident;
+use rstest::rstest;
+use tokio::time::Instant;
+
+const ZONES: u8 = 4;
+
+/// Longer than a host needs to find others.
+const SETTLED: Duration = Duration::from_secs(30);
+
+fn address(zone: u8, host: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, zone, 0, host)
+}
+
+fn zone(number: u8) -> ident::Zone {
+    format!("z{number}").as_str().into()
+}
+
+fn all(hosts: u8) -> impl Iterator<Item = (u8, u8)> {
+    (0..ZONES).flat_map(move |zone| (0..hosts).map(move |host| (zone, host)))
+}
+
+fn announcement(number: u8, process: u64) -> peers::Announcement {
+    peers::Announcement {
+        zone: zone(number),
+        process,
+        is_leaving: false,
+        revision: 1,
+        age: Some(Duration::ZERO),
+        link_mbps: 10,
+    }
+}
+
+/// The rounds of one turn of all hosts of zones of this many hosts.
+struct Fleet {
+    hosts: BTreeMap<(u8, u8), (peers::Table, Relay)>,
+}
+
+impl Fleet {
+    /// A fleet in which all hosts know all, started some time ago.
+    async fn new(hosts: u8, age: Duration) -> Self {
+        let own = |(zone, host)| peers::Table::new(address(zone, host), Vec::new());
+        let mut fleet: BTreeMap<_, _> = all(hosts)
+            .map(|it| (it, (own(it), Relay::default())))
+            .collect();
+        for (table, _) in fleet.values_mut() {
+            table.contacts(Instant::now(), Contacts::Some);
+        }
+        tokio::time::advance(age).await;
+        let mut fleet = Self { hosts: fleet };
+        fleet.hear_all();
+        fleet
+    }
+
+    fn hear_all(&mut self) {
+        let all: Vec<_> = self.hosts.keys().copied().collect();
+        for (it, (table, _)) in &mut self.hosts {
+            for (zone, host) in all.iter().filter(|other| *other != it) {
+                let said = announcement(*zone, u64::from(*host));
+                table.receive(Instant::now(), address(*zone, *host), said);
+            }
+        }
+    }
+
+    fn turn(&mut self) -> BTreeMap<(u8, u8), Round> {
+        let now = Instant::now();
+        let rounds = self.hosts.iter_mut().map(|(it, (table, relay))| {
+            let targets = table.targets(now);
+            let zone = zone(it.0);
+            let own = Own {
+                address: address(it.0, it.1),
+                zone: &zone,
+                link_mbps: 10,
+            };
+            (*it, relay.next(now, &own, table, &targets))
+        });
+        rounds.collect()
+    }
+}
+
+fn zone_of(address: &Ipv4Addr) -> u8 {
+    address.octets()[1]
+}
+
+#[tokio::test(start_paused = true)]
+async fn hosts_of_a_small_fleet_tell_all_others() {
+    let mut fleet = Fleet::new(3, SETTLED).await;
+    for round in fleet.turn().values() {
+        assert_eq!(round.hosts.len(), 11);
+        assert!(round.strangers.is_empty() && round.links.is_empty());
+    }
+}
+
+#[rstest]
+#[case::large(20, SETTLED)]
+#[case::very_large_but_young(50, Duration::from_secs(1))]
+#[tokio::test(start_paused = true)]
+async fn each_host_of_another_zone_gets_its_message_within_five_turns(
+    #[case] hosts: u8,
+    #[case] age: Duration,
+) {
+    let mut fleet = Fleet::new(hosts, age).await;
+    let mut told: BTreeMap<(u8, u8), Vec<Ipv4Addr>> = BTreeMap::new();
+    for _ in 0..5 {
+        for (it, round) in fleet.turn() {
+            assert_eq!(round.hosts.len(), usize::from(hosts) - 1);
+            assert!(round.links.is_empty());
+            told.entry(it).or_default().extend(round.strangers);
+        }
+    }
+    for (it, mut told) in told {
+        told.sort();
+        let far = all(hosts).filter(|other| other.0 != it.0);
+        let far: Vec<_> = far.map(|(zone, host)| address(zone, host)).collect();
+        assert_eq!(told, far);
+    }
+}
+
+/// However many hosts a zone has, two of them tell each other zone once a second,
+/// and each host there is told in its turn.
+#[rstest]
+#[case(40)]
+#[case(60)]
+#[tokio::test(start_paused = true)]
+async fn zones_of_a_very_large_fleet_tell_each_other_through_two_hosts(#[case] hosts: u8) {
+    let mut fleet = Fleet::new(hosts, SETTLED).await;
+    let mut senders = BTreeSet::new();
+    let mut receivers = BTreeSet::new();
+    for _ in 0..=hosts / 2 {
+        let mut pairs = Vec::new();
+        for (it, round) in fleet.turn() {
+            assert_eq!(round.hosts.len(), usize::from(hosts) - 1);
+            assert!(round.hosts.iter().all(|host| zone_of(host) == it.0));
+            assert!(round.strangers.is_empty());
+            for link in round.links {
+                senders.insert(it);
+                receivers.insert(link);
+                pairs.push((it.0, zone_of(&link)));
+            }
+        }
+        tokio::time::advance(Duration::from_millis(500)).await;
+        for round in fleet.turn().values() {
+            assert!(round.links.is_empty());
+        }
+        tokio::time::advance(Duration::from_millis(500)).await;
+        fleet.hear_all();
+        pairs.sort();
+        let other = |it: &(u8, u8)| it.0 != it.1;
+        let expected = (0..ZONES).flat_map(|from| (0..ZONES).map(move |to| (from, to)));
+        let expected = expected.filter(other).flat_map(|it| [it, it]);
+        assert_eq!(pairs, expected.collect::<Vec<_>>());
+    }
+    assert_eq!(senders.len(), usize::from(ZONES) * 2);
+    assert_eq!(receivers.len(), usize::from(ZONES) * usize::from(hosts));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_host_that_looks_for_its_zone_is_answered_once() {
+    let mut fleet = Fleet::new(50, SETTLED).await;
+    let asker = address(3, 7);
+    let (_, relay) = fleet.hosts.get_mut(&(0, 0)).unwrap();
+    relay.note_asker(asker, &zone(3));
+    let rounds = fleet.turn();
+    assert_eq!(rounds[&(0, 0)].askers, vec![(asker, zone(3))]);
+    assert!(fleet.turn()[&(0, 0)].askers.is_empty());
+    let (table, _) = fleet.hosts.get_mut(&(0, 0)).unwrap();
+    let contacts = table.contacts(Instant::now(), Contacts::Near(&zone(3)));
+    assert!(!contacts.is_empty());
+    assert!(contacts.iter().all(|contact| contact.zone == zone(3)));
+}
+
+fn summary(loads: usize) -> datagram::Summary {
+    let id = |number| format!("i-{number:010x}").as_str().into();
+    datagram::Summary {
+        sender: datagram::Sender {
+            process: 1,
+            zone: zone(1),
+            is_leaving: false,
+            revision: 9,
+            age_ms: Some(3),
+            link_mbps: 10,
+        },
+        address: address(1, 1),
+        part: (0, 1),
+        loads: (0..loads).map(|number| (id(number), 3)).collect(),
+        suspects: vec![(id(1), 500, true)],
+        strikes: Vec::new(),
+        prompts: Vec::new(),
+        contacts: Vec::new(),
+    }
+}
+
+#[rstest]
+#[case(0, 0)]
+#[case(30, 1)]
+#[case(4_200, 512)]
+fn a_summary_is_told_in_parts_that_fit_a_datagram(#[case] upstreams: usize, #[case] count: u64) {
+    let whole = summary(upstreams);
+    let prompts: Vec<_> = (0..count).map(|key| (key, "i-0123456789".into())).collect();
+    let datagrams = whole.clone().encode(prompts.clone()).unwrap();
+    let mut loads = Vec::new();
+    let mut told = Vec::new();
+    let mut suspects = 0;
+    for bytes in &datagrams {
+        assert!(bytes.len() <= datagram::DATAGRAM_BYTES, "{}", bytes.len());
+        let Datagram::Summary(part) = datagram::decode(bytes).unwrap() else {
+            panic!("no summary");
+        };
+        loads.extend(part.loads);
+        told.extend(part.prompts);
+        suspects += part.suspects.len();
+    }
+    loads.sort();
+    assert_eq!(loads, whole.loads);
+    assert_eq!(told, prompts);
+    assert_eq!(suspects, 1);
+}
+
+#[test]
+fn a_datagram_of_another_form_is_told_from_a_broken_one() {
+    let bytes = summary(1).encode(Vec::new()).unwrap().remove(0);
+    let other: Vec<u8> = [&[7], &bytes[1..]].concat();
+    let version = datagram::decode(&other);
+    assert!(matches!(version, Err(datagram::Fault::Version(7))));
+    let empty = datagram::decode(&[]);
+    assert!(matches!(empty, Err(datagram::Fault::Empty)));
+    let cut = datagram::decode(&bytes[..bytes.len() / 2]);
+    assert!(matches!(cut, Err(datagram::Fault::Decode(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn loads_of_a_zone_are_not_told_as_those_of_its_hosts() {
+    let mut loads = load::Table::default();
+    let id: ident::Upstream = "u1".into();
+    let now = Instant::now();
+    loads.begin(&id);
+    loads.report(now, load::Source::Host(7), [(id.clone(), 2)].into());
+    loads.report(now, load::Source::Stranger(8), [(id.clone(), 4)].into());
+    loads.report(now, load::Source::Zone(1, 0, 1), [(id.clone(), 8)].into());
+    loads.report(now, load::Source::Zone(1, 0, 1), [(id.clone(), 16)].into());
+    loads.report(now, load::Source::Zone(2, 0, 1), [(id.clone(), 32)].into());
+    assert_eq!(loads.total(&id), 1 + 2 + 4 + 16 + 32);
+    // The same loads of the zone, divided into more parts.
+    loads.report(now, load::Source::Zone(1, 1, 2), [(id.clone(), 17)].into());
+    assert_eq!(loads.total(&id), 1 + 2 + 4 + 17 + 32);
+    assert_eq!(loads.hosts(), [(id, 3)].into());
+}
+
+#[test]
+fn only_very_large_fleets_are_told_by_zones() {
+    assert!(!relay::is_relayed(83));
+    assert!(relay::is_relayed(380));
+}
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -196,14 +196,20 @@
     let id = "u1".into();
     assert!(health.record(Instant::now(), &id, Sign::Unreached));
     assert!(health.was_unreached(Instant::now(), &id));
-    let told = health.suspects(Instant::now());
+    let told = health.suspects(Instant::now(), health::Scope::Host);
     let mut other = health::Table::default();
     for (id, left, is_down) in &told {
-        other.merge(Instant::now(), id, *left, *is_down);
+        other.merge(Instant::now(), id, *left, *is_down, true);
     }
     assert_eq!(other.usage(Instant::now(), &id), Use::Down);
     // What is only hearsay isn't passed on.
-    assert!(other.suspects(Instant::now()).is_empty());
+    assert!(
+        other
+            .suspects(Instant::now(), health::Scope::Host)
+            .is_empty()
+    );
+    let told = other.suspects(Instant::now(), health::Scope::Zone);
+    assert_eq!(told.len(), 1, "hosts of the zone found it");
 }
 
 #[rstest]
@@ -245,7 +251,7 @@
     let mut health = health::Table::default();
     let id = "u1".into();
     health.record(Instant::now(), &id, Sign::Answered);
-    health.merge(Instant::now(), &id, Duration::from_secs(2), true);
+    health.merge(Instant::now(), &id, Duration::from_secs(2), true, true);
     assert_eq!(health.usage(Instant::now(), &id), Use::Good);
 }
 
@@ -254,8 +260,16 @@
     let mut loads = load::Table::default();
     let id = "u1".into();
     loads.begin(&id);
-    loads.report(Instant::now(), 7, [(id.clone(), 3)].into());
-    loads.report(Instant::now(), 7, [(id.clone(), 2)].into());
+    loads.report(
+        Instant::now(),
+        load::Source::Host(7),
+        [(id.clone(), 3)].into(),
+    );
+    loads.report(
+        Instant::now(),
+        load::Source::Host(7),
+        [(id.clone(), 2)].into(),
+    );
     assert_eq!(loads.total(&id), 3);
     tokio::time::advance(Duration::from_secs(3)).await;
     loads.expire(Instant::now());
@@ -291,6 +305,34 @@
     assert_eq!(table.sharing(Instant::now()), 1);
 }
 
+#[rstest]
+#[case::near_is_ahead(&[(2, "z1", 5, 9_000), (3, "z2", 9, 0)], 4, Some(2))]
+#[case::near_is_fresh(&[(2, "z1", 5, 0), (3, "z2", 9, 0)], 5, Some(2))]
+#[case::near_has_nothing_new(&[(2, "z1", 5, 9_000), (3, "z2", 9, 0)], 5, Some(3))]
+#[case::latest_of_the_zone(&[(2, "z1", 5, 0), (3, "z1", 6, 50)], 4, Some(3))]
+#[case::nobody_is_useful(&[(2, "z1", 5, 9_000), (3, "z2", 5, 9_000)], 5, None)]
+#[tokio::test(start_paused = true)]
+async fn a_host_that_lags_asks_its_own_zone_first(
+    #[case] others: &[(u8, &str, u64, u64)],
+    #[case] revision: u64,
+    #[case] asked: Option<u8>,
+) {
+    let address = |last| Ipv4Addr::new(10, 0, 0, last);
+    let mut table = peers::Table::new(address(1), Vec::new());
+    for (last, zone, revision, age_ms) in others {
+        let said = peers::Announcement {
+            zone: (*zone).into(),
+            revision: *revision,
+            age: Some(Duration::from_millis(*age_ms)),
+            ..announcement(u64::from(*last))
+        };
+        table.receive(Instant::now(), address(*last), said);
+    }
+    let stale = Duration::from_secs(2);
+    let chosen = table.ahead(Instant::now(), &"z1".into(), revision, stale);
+    assert_eq!(chosen, asked.map(address));
+}
+
 #[tokio::test(start_paused = true)]
 async fn hosts_learn_of_each_other_by_word_and_forget_the_dead() {
     let now = Instant::now() + Duration::from_secs(600);
