Forge tokens by their check, not by turning their text round

Change: one bit of the check is wrong, which is always forged; and a token that names an issuer that doesn't exist is a case of its own, with its own answer and outcome. No expectation is loosened: the forged token must still be refused as forged.

--- a/standin/tests/fleet_once.rs
+++ b/standin/tests/fleet_once.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use masticmoor::token::Token;
 use standin::fault::Plan;
 use standin::fleet::Fleet;
 use standin::fleet::client;
@@ -124,15 +125,28 @@
     let (call, other) = (probe::buy("one", 1), probe::buy("one", 2));
     let seen = probe::ask(addresses[1], &call, Some(&token)).await.unwrap();
     assert!(seen.is_answer(&call) && seen.token.is_some(), "{seen:?}");
-    let forged: String = token.chars().rev().collect();
+    let parsed = Token::parse(&token).unwrap();
+    let mut check = parsed.check;
+    check[0] ^= 1;
+    let forged = Token {
+        check,
+        ..parsed.clone()
+    };
+    let stranger = Token {
+        issuer: "nobody".into(),
+        ..parsed
+    };
+    let (forged, stranger) = (forged.to_string(), stranger.to_string());
     tokio::time::sleep(Duration::from_millis(1_600)).await;
     for address in addresses {
         let cases = [
-            (&other, &token, 422, "token-mismatch", false),
-            (&call, &forged, 400, "token-forged", false),
-            (&other, &stale, 428, "token-expired", true),
+            (&other, &token, 422, "token-mismatch", "not-run", false),
+            (&call, &forged, 400, "token-forged", "not-run", false),
+            // Nobody can tell whether it ran.
+            (&call, &stranger, 503, "issuer-lost", "unknown", false),
+            (&other, &stale, 428, "token-expired", "not-run", true),
         ];
-        for (call, token, status, code, renewed) in cases {
+        for (call, token, status, code, outcome, renewed) in cases {
             let seen = probe::ask(address, call, Some(token)).await.unwrap();
             assert_eq!(
                 (seen.status, seen.code.as_str()),
@@ -141,7 +155,7 @@
             );
             assert_eq!(
                 (seen.outcome.as_str(), seen.token.is_some()),
-                ("not-run", renewed)
+                (outcome, renewed)
             );
         }
         let none = probe::ask(address, &other, None).await.unwrap();
