Say once what datagrams hold, and keep them short with long names

Message and Summary held the same five fields: now one Report. A summary's parts were cut by a count that fits usual names only, though its documentation promised more: parts and prompts are now divided until they fit, with a case of long names (not run against the code before, whose interface differs). Stream: leaving an upstream was written twice. The example of tokens does without unwrap.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -25,13 +25,9 @@
 /// The longest datagram, in bytes: one that isn't sent in fragments.
 pub const DATAGRAM_BYTES: usize = 1_400;
 
-/// The upstreams of which one part of a summary tells, so that it fits a datagram
-/// with usual names.
+/// The upstreams of which one part of a summary tells, where names aren't long.
 const SUMMARY_UPSTREAMS: usize = 48;
 
-/// The prompts of which one part of a summary tells.
-const SUMMARY_PROMPTS: usize = 40;
-
 /// Where prompts were sent.
 pub type Prompts = Vec<(u64, ident::Upstream)>;
 
@@ -52,26 +48,33 @@
     pub link_mbps: u32,
 }
 
-/// What a host tells others of itself.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    /// Who tells it.
-    pub sender: Sender,
-    /// Whether it has just started and may not know its zone.
-    pub is_settling: bool,
-    /// Requests under way, by upstream.
+/// What hosts tell of upstreams, requests and each other.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests under way, by upstream: of the host, or of the whole zone.
     pub loads: Vec<(ident::Upstream, u32)>,
     /// Suspect upstreams, for how many milliseconds more, and whether they can't be
     /// reached.
     pub suspects: Vec<(ident::Upstream, u64, bool)>,
     /// Requests that lost upstreams.
     pub strikes: Vec<Strike>,
-    /// Where it sent prompts.
+    /// Where prompts were sent.
     pub prompts: Prompts,
-    /// Hosts that it knows.
+    /// Hosts that the sender knows.
     pub contacts: Vec<Contact>,
 }
 
+/// What a host tells others of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who tells it.
+    pub sender: Sender,
+    /// Whether it has just started and may not know its zone.
+    pub is_settling: bool,
+    /// What it tells.
+    pub report: Report,
+}
+
 /// A part of what a zone tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
@@ -81,16 +84,8 @@
     pub address: Ipv4Addr,
     /// Which part of the zone's upstreams the loads cover, of how many.
     pub part: (u32, u32),
-    /// Requests under way from the whole zone, by upstream.
-    pub loads: Vec<(ident::Upstream, u32)>,
-    /// As in a message.
-    pub suspects: Vec<(ident::Upstream, u64, bool)>,
-    /// As in a message.
-    pub strikes: Vec<Strike>,
-    /// Where the zone sent prompts.
-    pub prompts: Prompts,
-    /// Hosts that the sender knows.
-    pub contacts: Vec<Contact>,
+    /// What the zone tells.
+    pub report: Report,
 }
 
 /// A datagram.
@@ -130,18 +125,26 @@
     }
 }
 
+impl Report {
+    /// Leaves out one thing, if there is one that a later datagram tells again.
+    fn shorten(&mut self) -> bool {
+        self.contacts.pop().is_some() || self.strikes.pop().is_some()
+    }
+}
+
 impl Message {
     /// Encodes a message; leaves out what a datagram doesn't hold. Loads matter
-    /// most; the rest comes again with a later message.
-    pub fn encode(mut self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    /// most.
+    pub fn encode(self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        let mut message = self;
         loop {
-            let bytes = encode(&Datagram::Message(self.clone()))?;
+            let bytes = encode(&Datagram::Message(message.clone()))?;
+            let report = &mut message.report;
             match bytes.len() <= DATAGRAM_BYTES {
                 true => return Ok(bytes),
-                false if self.contacts.pop().is_some() => {}
-                false if self.strikes.pop().is_some() => {}
-                false if self.prompts.pop().is_some() => {}
-                false if self.loads.pop().is_some() => {}
+                false if report.shorten() => {}
+                false if report.prompts.pop().is_some() => {}
+                false if report.loads.pop().is_some() => {}
                 false => return Ok(bytes),
             }
         }
@@ -157,42 +160,82 @@
 
     /// Encodes a summary as parts that each fit a datagram. Upstreams stay in their
     /// part as long as the number of those in use doesn't change much.
-    pub fn encode(
-        mut self,
-        mut prompts: Prompts,
-    ) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
-        let parts = self.loads.len().div_ceil(SUMMARY_UPSTREAMS);
-        let parts = parts.max(1).next_power_of_two();
-        let parts = u32::try_from(parts).unwrap_or(u32::MAX);
-        let mut loads: BTreeMap<u32, Vec<_>> = BTreeMap::new();
-        for (upstream, count) in std::mem::take(&mut self.loads) {
+    pub fn encode(mut self) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
+        let prompts = std::mem::take(&mut self.report.prompts);
+        let parts = self.report.loads.len().div_ceil(SUMMARY_UPSTREAMS);
+        let mut parts = u32::try_from(parts.max(1).next_power_of_two()).unwrap_or(u32::MAX);
+        let most = u32::try_from(self.report.loads.len()).unwrap_or(u32::MAX);
+        let mut datagrams = loop {
+            let datagrams = self.encode_loads(parts)?;
+            let fits = datagrams.iter().all(|bytes| bytes.len() <= DATAGRAM_BYTES);
+            // Long names need more parts.
+            match fits || parts > most {
+                true => break datagrams,
+                false => parts = parts.saturating_mul(2),
+            }
+        };
+        let rest = Self {
+            part: (parts, parts),
+            report: Report::default(),
+            ..self
+        };
+        rest.encode_prompts(&prompts, &mut datagrams)?;
+        Ok(datagrams)
+    }
+
+    fn encode_loads(&self, parts: u32) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
+        let mut loads: BTreeMap<u64, Vec<_>> = BTreeMap::new();
+        for (upstream, count) in &self.report.loads {
             let part = xxh3_64(upstream.as_str().as_bytes()) % u64::from(parts);
-            let part = u32::try_from(part).unwrap_or_default();
-            loads.entry(part).or_default().push((upstream, count));
+            let told = loads.entry(part).or_default();
+            told.push((upstream.clone(), *count));
         }
-        let mut datagrams = Vec::new();
-        for part in 0..parts {
+        let datagrams = (0..parts).map(|part| {
+            let loads = loads.remove(&u64::from(part)).unwrap_or_default();
+            let report = match part {
+                // What concerns no part is told once.
+                0 => Report {
+                    loads,
+                    ..self.report.clone()
+                },
+                _ => Report {
+                    loads,
+                    ..Report::default()
+                },
+            };
             let mut summary = Self {
                 part: (part, parts),
-                loads: loads.remove(&part).unwrap_or_default(),
-                ..self.clone()
+                report,
+                sender: self.sender.clone(),
+                address: self.address,
             };
-            datagrams.push(summary.fit()?);
-            // What concerns no part is told once.
-            self.suspects.clear();
-            self.strikes.clear();
-            self.contacts.clear();
+            summary.fit()
+        });
+        datagrams.collect()
+    }
+
+    /// Adds datagrams that tell of prompts, as many in each as fit.
+    fn encode_prompts(
+        &self,
+        prompts: &[(u64, ident::Upstream)],
+        datagrams: &mut Vec<Vec<u8>>,
+    ) -> Result<(), rmp_serde::encode::Error> {
+        if prompts.is_empty() {
+            return Ok(());
         }
-        while !prompts.is_empty() {
-            let rest = prompts.split_off(prompts.len().min(SUMMARY_PROMPTS));
-            let summary = Self {
-                part: (parts, parts),
-                prompts: std::mem::replace(&mut prompts, rest),
-                ..self.clone()
-            };
-            datagrams.push(encode(&Datagram::Summary(summary))?);
+        let mut summary = self.clone();
+        summary.report.prompts = prompts.to_vec();
+        let bytes = encode(&Datagram::Summary(summary))?;
+        match prompts.split_at(prompts.len() / 2) {
+            (first, second) if bytes.len() > DATAGRAM_BYTES && !first.is_empty() => {
+                self.encode_prompts(first, datagrams)?;
+                self.encode_prompts(second, datagrams)
+            }
+            _ => {
+                datagrams.push(bytes);
+                Ok(())
+            }
         }
-        Ok(datagrams)
     }
 
     fn fit(&mut self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
@@ -200,9 +243,8 @@
             let bytes = encode(&Datagram::Summary(self.clone()))?;
             match bytes.len() <= DATAGRAM_BYTES {
                 true => return Ok(bytes),
-                false if self.contacts.pop().is_some() => {}
-                false if self.strikes.pop().is_some() => {}
-                false if self.suspects.pop().is_some() => {}
+                false if self.report.shorten() => {}
+                false if self.report.suspects.pop().is_some() => {}
                 false => return Ok(bytes),
             }
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -19,6 +19,7 @@
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::Message;
 use crate::gateway::datagram::Prompts;
+use crate::gateway::datagram::Report;
 use crate::gateway::datagram::Sender;
 use crate::gateway::datagram::Summary;
 use crate::gateway::health::Scope;
@@ -123,7 +124,7 @@
         let mut message = message(state, now, Vec::new(), Contacts::Near(&zone));
         if !is_settling {
             // They are in the summary of the zone.
-            message.loads.clear();
+            message.report.loads.clear();
         }
         if let Some(bytes) = encode(message) {
             send_to(state, socket, address, &bytes).await;
@@ -217,29 +218,31 @@
     Message {
         sender,
         is_settling,
-        loads: loads.into_iter().collect(),
-        suspects: datagram::suspects(suspects),
-        strikes,
-        prompts,
-        contacts,
+        report: Report {
+            loads: loads.into_iter().collect(),
+            suspects: datagram::suspects(suspects),
+            strikes,
+            prompts,
+            contacts,
+        },
     }
 }
 
 /// Returns the datagrams that tell another zone about this one.
 fn summary(state: &State, now: Instant, prompts: Prompts) -> Vec<Vec<u8>> {
-    let message = message(state, now, Vec::new(), Contacts::Many);
+    let Message { sender, report, .. } = message(state, now, prompts, Contacts::Many);
     let suspects = lock(&state.health).suspects(now, Scope::Zone);
     let summary = Summary {
-        sender: message.sender,
+        sender,
         address: state.address,
         part: (0, 1),
-        loads: lock(&state.loads).hosts().into_iter().collect(),
-        suspects: datagram::suspects(suspects),
-        strikes: message.strikes,
-        prompts: Vec::new(),
-        contacts: message.contacts,
+        report: Report {
+            loads: lock(&state.loads).hosts().into_iter().collect(),
+            suspects: datagram::suspects(suspects),
+            ..report
+        },
     };
-    match summary.encode(prompts) {
+    match summary.encode() {
         Ok(datagrams) => datagrams,
         Err(error) => {
             warn!(%error, "peers: summary can't be encoded");
@@ -276,39 +279,35 @@
                 false => load::Source::Stranger(message.sender.process),
             };
             match is_near {
-                true => relay.learn(&message.prompts),
+                true => relay.learn(&message.report.prompts),
                 false if message.is_settling && !is_settling => {
                     relay.note_asker(address, &message.sender.zone);
                 }
                 false => {}
             }
-            take(state, address, source, message, is_near);
+            take(state, address, &message.sender, source, message.report);
             false
         }
         Datagram::Summary(summary) if summary.sender.zone == *own => false,
         Datagram::Summary(summary) => {
             let is_direct = summary.address == address;
             let source = summary.source();
-            let sender = summary.address;
-            let message = Message {
-                sender: summary.sender,
-                is_settling: false,
-                loads: summary.loads,
-                suspects: summary.suspects,
-                strikes: summary.strikes,
-                prompts: summary.prompts,
-                contacts: summary.contacts,
-            };
-            take(state, sender, source, message, false);
+            take(
+                state,
+                summary.address,
+                &summary.sender,
+                source,
+                summary.report,
+            );
             is_direct
         }
     }
 }
 
 /// Takes in what a host tells of itself or of its zone.
-fn take(state: &State, address: Ipv4Addr, source: load::Source, message: Message, is_near: bool) {
+fn take(state: &State, address: Ipv4Addr, sender: &Sender, source: load::Source, report: Report) {
     let now = Instant::now();
-    let sender = message.sender;
+    let is_near = sender.zone == state.options.host.zone;
     if sender.revision > lock(&state.mirror).revision() {
         state.behind.notify_one();
     }
@@ -317,27 +316,27 @@
         if peers.receive(now, address, sender.announcement()) {
             info!(%address, process = sender.process, "peers: new host");
         }
-        for contact in &message.contacts {
+        for contact in &report.contacts {
             peers.add(now, contact);
         }
     }
     {
         let mut health = lock(&state.health);
-        for (upstream, left, is_down) in &message.suspects {
+        for (upstream, left, is_down) in &report.suspects {
             let left = Duration::from_millis(*left);
             health.merge(now, upstream, left, *is_down, is_near);
         }
     }
-    let loads = message.loads.into_iter().collect();
+    let loads = report.loads.into_iter().collect();
     lock(&state.loads).report(now, source, loads);
     {
         let mut warm = lock(&state.warm);
-        for (prompt, upstream) in &message.prompts {
+        for (prompt, upstream) in &report.prompts {
             warm.learn(now, *prompt, upstream);
         }
     }
     let mut strikes = lock(&state.strikes);
-    for strike in &message.strikes {
+    for strike in &report.strikes {
         strikes.merge(now, strike);
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -240,31 +240,25 @@
         attempt::reserve(&self.state, &self.job, &self.trail, upstream)
     }
 
+    /// Closes the connection to the upstream, so that no two runs go on at once, and
+    /// returns which it was.
+    fn leave(&mut self, code: Code) -> Result<ident::Upstream, Cut> {
+        let answer = self.answer.take();
+        let upstream = answer.map(|it| it.lease.known.upstream.id.clone());
+        upstream.ok_or_else(|| self.cut(code))
+    }
+
     /// Leaves a slow upstream for a place elsewhere.
     async fn go_on(&mut self, lease: Lease) -> Result<(), Cut> {
-        // The connection closes here, so that no two runs go on at once.
         let code = Code::StreamTimeout;
-        let Some(upstream) = self
-            .answer
-            .take()
-            .map(|it| it.lease.known.upstream.id.clone())
-        else {
-            return Err(self.cut(code));
-        };
+        let upstream = self.leave(code)?;
         attempt::moved(&self.state, &self.job, &mut self.trail, &upstream, code);
         self.follow(&upstream, Some(lease)).await
     }
 
     /// Goes on at another upstream after the last event that was passed on.
     async fn resume(&mut self, code: Code) -> Result<(), Cut> {
-        // The connection closes here, so that no two runs go on at once.
-        let Some(upstream) = self
-            .answer
-            .take()
-            .map(|it| it.lease.known.upstream.id.clone())
-        else {
-            return Err(self.cut(code));
-        };
+        let upstream = self.leave(code)?;
         let again = attempt::lost(&self.state, &self.job, &mut self.trail, &upstream, code);
         if again.is_err() {
             return Err(self.cut(code));
--- a/src/token.rs
+++ b/src/token.rs
@@ -8,10 +8,11 @@
 //! use masticmoor::token::{Ending, Key, Ledger, Limits, Spend};
 //! use tokio::time::Instant;
 //!
+//! # fn example() -> eyre::Result<()> {
 //! let now = Instant::now();
 //! let key = Key::new(&mut rand::rng());
-//! let mut ledger = Ledger::new(now, "e1".into(), 7, key, Limits::default()).unwrap();
-//! let token = ledger.issue(now).unwrap();
+//! let mut ledger = Ledger::new(now, "e1".into(), 7, key, Limits::default())?;
+//! let token = ledger.issue(now)?;
 //! let Spend::Run(lease) = ledger.spend(now, &token, 42) else {
 //!     panic!("the first use runs");
 //! };
@@ -19,6 +20,9 @@
 //! assert!(matches!(ledger.spend(now, &token, 42), Spend::Join(_)));
 //! let _ = ledger.settle(now, lease, Ending::Streamed);
 //! assert!(matches!(ledger.spend(now, &token, 42), Spend::Refuse(_)));
+//! # Ok(())
+//! # }
+//! # example().expect("a new ledger has room");
 //! ```
 
 mod answers;
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -164,15 +164,22 @@
     assert_eq!(runs(&[&one]), 1);
 }
 
-#[tokio::test]
-async fn a_stream_goes_on_after_the_last_whole_event() {
+/// Two upstreams that break off in the middle of the sixth event.
+async fn torn_after_five() -> [Upstream; 2] {
     let cut = |_| Step::Stream {
         from: 0,
         to: 5,
         torn: true,
     };
-    let one = Upstream::start("u1", cut).await;
-    let two = Upstream::start("u2", cut).await;
+    [
+        Upstream::start("u1", cut).await,
+        Upstream::start("u2", cut).await,
+    ]
+}
+
+#[tokio::test]
+async fn a_stream_goes_on_after_the_last_whole_event() {
+    let [one, two] = torn_after_five().await;
     let host = Host::start(Kind::ResumableStream, &[&one, &two]).await;
     for upstream in [&one, &two] {
         upstream.resume(10);
@@ -185,13 +192,7 @@
 
 #[tokio::test]
 async fn a_stream_that_can_t_go_on_never_looks_complete() {
-    let cut = |_| Step::Stream {
-        from: 0,
-        to: 5,
-        torn: true,
-    };
-    let one = Upstream::start("u1", cut).await;
-    let two = Upstream::start("u2", cut).await;
+    let [one, two] = torn_after_five().await;
     let (_host, reply) = ask(Kind::Stream, &[&one, &two]).await;
     assert!(!reply.is_complete);
     assert_eq!(reply.body, upstream::events(0, 5));
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -184,8 +184,8 @@
     assert!(contacts.iter().all(|contact| contact.zone == zone(3)));
 }
 
-fn summary(loads: usize) -> datagram::Summary {
-    let id = |number| format!("i-{number:010x}").as_str().into();
+fn summary(loads: usize, prefix: &str) -> datagram::Summary {
+    let id = |number| format!("{prefix}-{number:010x}").as_str().into();
     datagram::Summary {
         sender: datagram::Sender {
             process: 1,
@@ -197,22 +197,33 @@
         },
         address: address(1, 1),
         part: (0, 1),
-        loads: (0..loads).map(|number| (id(number), 3)).collect(),
-        suspects: vec![(id(1), 500, true)],
-        strikes: Vec::new(),
-        prompts: Vec::new(),
-        contacts: Vec::new(),
+        report: datagram::Report {
+            loads: (0..loads).map(|number| (id(number), 3)).collect(),
+            suspects: vec![(id(1), 500, true)],
+            ..datagram::Report::default()
+        },
     }
 }
 
 #[rstest]
-#[case(0, 0)]
-#[case(30, 1)]
-#[case(4_200, 512)]
-fn a_summary_is_told_in_parts_that_fit_a_datagram(#[case] upstreams: usize, #[case] count: u64) {
-    let whole = summary(upstreams);
-    let prompts: Vec<_> = (0..count).map(|key| (key, "i-0123456789".into())).collect();
-    let datagrams = whole.clone().encode(prompts.clone()).unwrap();
+#[case(0, 0, "i")]
+#[case(30, 1, "i")]
+#[case(4_200, 512, "i")]
+#[case::long_names(
+    300,
+    200,
+    "an-upstream-whose-operators-like-to-give-it-a-name-that-says-it-all"
+)]
+fn a_summary_is_told_in_parts_that_fit_a_datagram(
+    #[case] upstreams: usize,
+    #[case] count: u64,
+    #[case] prefix: &str,
+) {
+    let whole = summary(upstreams, prefix);
+    let prompts: Vec<_> = (0..count).map(|key| (key, prefix.into())).collect();
+    let mut told_of = whole.clone();
+    told_of.report.prompts = prompts.clone();
+    let datagrams = told_of.encode().unwrap();
     let mut loads = Vec::new();
     let mut told = Vec::new();
     let mut suspects = 0;
@@ -221,19 +232,19 @@
         let Datagram::Summary(part) = datagram::decode(bytes).unwrap() else {
             panic!("no summary");
         };
-        loads.extend(part.loads);
-        told.extend(part.prompts);
-        suspects += part.suspects.len();
+        loads.extend(part.report.loads);
+        told.extend(part.report.prompts);
+        suspects += part.report.suspects.len();
     }
     loads.sort();
-    assert_eq!(loads, whole.loads);
+    assert_eq!(loads, whole.report.loads);
     assert_eq!(told, prompts);
     assert_eq!(suspects, 1);
 }
 
 #[test]
 fn a_datagram_of_another_form_is_told_from_a_broken_one() {
-    let bytes = summary(1).encode(Vec::new()).unwrap().remove(0);
+    let bytes = summary(1, "i").encode().unwrap().remove(0);
     let other: Vec<u8> = [&[7], &bytes[1..]].concat();
     let version = datagram::decode(&other);
     assert!(matches!(version, Err(datagram::Fault::Version(7))));
