--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -107,7 +107,7 @@
         let now = Instant::now();
         let facts = lease.facts;
         info!(target: CALM, id = job.id, %upstream, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = facts.load, candidates = facts.candidates,
-            usage = %facts.usage, cold = facts.is_cold, warm = facts.is_warm, holder = lease.holder.map(|it| it.to_string()), last_event,
+            usage = %facts.usage, cold = facts.is_cold, warm = facts.is_warm, holder = lease.holder.as_ref().map(|it| it.upstream.id.as_str()), last_event,
             waited_ms = millis(now.duration_since(job.arrived)), "request: sent");
         match exchange(state, job, trail, lease, last_event).await {
             Ok(answer) => return Ok(answer),
@@ -297,7 +297,8 @@
     let mut connection = connection.map_err(Loss::Unsent)?;
     let sent = Instant::now();
     let last_event = last_event.or(job.last_event);
-    let request = job.request(names, sent, &upstream.id, lease.holder, last_event);
+    let holder = lease.holder.as_ref().map(|it| it.upstream.address);
+    let request = job.request(names, sent, &upstream.id, holder, last_event);
     trail.sends += 1;
     trail.runs += 1;
     let limit = try_limit(job, trail, sent);
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -166,7 +165,7 @@
         view: &View,
         job: &Job,
         upstream: &ident::Upstream,
-    ) -> Option<SocketAddr> {
+    ) -> Option<Arc<Known>> {
         let health = lock(&self.health);
         let warm = lock(&self.warm);
         let missing = job.beginnings.iter();
@@ -181,7 +180,7 @@
             });
             let holders: Vec<_> = holders.collect();
             let known = listed.get(place::holder(&holders)?)?;
-            Some(known.upstream.address)
+            Some(Arc::clone(known))
         })
     }
 
@@ -292,7 +291,7 @@
     /// The upstream.
     pub known: Arc<Known>,
     /// Another engine from which it can copy the prompt.
-    pub holder: Option<SocketAddr>,
+    pub holder: Option<Arc<Known>>,
     /// What spoke for it.
     pub facts: Facts,
 }
