Let hosts that start learn which engines hold which prompts

Cause: a host that starts knew no holder of any prompt and placed prompts by the rendezvous order alone; what had moved since was read again. Prompts are known by their parts in place of hashes of beginnings, as engines list parts. Tests: where_no_host_knows_the_engines_say_what_they_hold fails without the task; the table's and the adapter's tests are new with their functions. The wire's test packs by the functions that replace methods of one reply; it checks the same.

--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -112,6 +112,9 @@
     #[doc = "Starts a second that a cold upstream bears beyond that."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub cold_slack: ::std::option::Option<f64>,
+    #[doc = "Whether the whole fleet starts for the first time, with upstreams that hold no prompts yet."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub first_start: ::std::option::Option<bool>,
     #[doc = "The least time between two messages to other hosts."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub gossip_pause_ms: ::std::option::Option<u64>,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -38,5 +38,6 @@
 pub mod upstream;
 pub mod view;
 pub mod warm;
+pub mod warmup;
 
 pub use state::State;
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -81,7 +81,7 @@
         );
         return Err(Refusal::not_run(Code::CrashedRepeatedly).after(left));
     }
-    let (prompt, beginnings) = job::prompt(&(names.parts)(&parts.headers), &path);
+    let (prompt, shared) = job::prompt(&(names.parts)(&parts.headers), &path);
     Ok(Job {
         id: id.to_owned(),
         service,
@@ -91,7 +91,7 @@
         method: parts.method,
         headers: job::forwardable(names, &parts.headers),
         prompt,
-        beginnings,
+        parts: shared,
         uri: parts.uri,
         body,
         fingerprint,
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -94,7 +94,7 @@
                         losses: health.score(id),
                         cold_room: *room,
                         is_tried: tried.contains(id),
-                        is_warm: warm.holds(now, job.prompt.key, id),
+                        is_warm: is_whole(warm.depth(now, &job.parts, id), job),
                     }
                 })
                 .collect();
@@ -142,8 +142,8 @@
         };
         if job.route.is_sticky {
             let mut warm = lock(&self.warm);
-            let beginnings = job.beginnings.iter();
-            let updates = beginnings.filter(|key| warm.record(now, **key, id)).count();
+            let parts = job.parts.iter();
+            let updates = parts.filter(|part| warm.record(now, **part, id)).count();
             drop(warm);
             if updates > 0 {
                 self.urgent.notify_one();
@@ -168,10 +168,14 @@
     ) -> Option<Arc<Known>> {
         let health = lock(&self.health);
         let warm = lock(&self.warm);
-        let missing = job.beginnings.iter();
-        let mut missing = missing.take_while(|key| !warm.holds(now, **key, upstream));
-        missing.find_map(|key| {
-            let others = warm.holders(now, *key).filter(|it| *it != upstream);
+        let held = warm.depth(now, &job.parts, upstream);
+        let missing = (held..job.parts.len()).rev();
+        // The one that holds most of the prompt is best.
+        missing.into_iter().find_map(|last| {
+            let part = job.parts.get(last)?;
+            let holders = warm.holders(now, *part).into_iter();
+            let others =
+                holders.filter(|it| *it != upstream && warm.depth(now, &job.parts, it) > last);
             let listed = others.filter_map(|it| view.upstream(it));
             let listed: Vec<_> = listed.filter(|it| it.lapses_at.is_none()).collect();
             let holders = listed.iter().map(|known| place::Holder {
@@ -229,6 +233,11 @@
     }
 }
 
+/// Tells whether so many parts are the whole prompt that a request shares.
+fn is_whole(depth: usize, job: &Job) -> bool {
+    depth > 0 && depth == job.parts.len()
+}
+
 /// What spoke for an upstream when it was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Facts {
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -20,7 +20,7 @@
 use crate::policy::strike::Strike;
 
 /// The version of the form.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 
 /// The longest datagram, in bytes: one that isn't sent in fragments.
 pub const DATAGRAM_BYTES: usize = 1_400;
@@ -46,6 +46,8 @@
     pub age_ms: Option<u64>,
     /// The speed of its link, in Mbit/s.
     pub link_mbps: u32,
+    /// Whether it knows which upstreams hold which prompts.
+    pub is_informed: bool,
 }
 
 /// What hosts tell of upstreams, requests and each other.
@@ -121,6 +123,7 @@
             revision: self.revision,
             age: self.age_ms.map(Duration::from_millis),
             link_mbps: self.link_mbps,
+            is_informed: self.is_informed,
         }
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,6 +12,8 @@
 use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -85,8 +87,12 @@
     let after = lock(&state.mirror).revision();
     let limit = wait + FOLLOW_PATIENCE;
     let address = SocketAddr::from((leader, state.options.host.peer.port()));
-    let asked = timeout(limit, ask(address, after, wait)).await;
-    let reply = asked.map_err(|_| Fault::Silent(limit))??;
+    let question = wire::Ask {
+        after,
+        wait_ms: millis(wait),
+    };
+    let asked = timeout(limit, ask(address, wire::PATH, &question)).await;
+    let reply: wire::Reply = asked.map_err(|_| Fault::Silent(limit))??;
     // The reply was made this long after the question left, at the earliest.
     let made = as_of + Duration::from_millis(reply.waited_ms);
     let age = Duration::from_millis(reply.age_ms);
@@ -105,13 +111,17 @@
     }
 }
 
-async fn ask(address: SocketAddr, after: u64, wait: Duration) -> Result<wire::Reply, Fault> {
-    let wait_ms = millis(wait);
-    let question = rmp_serde::to_vec(&wire::Ask { after, wait_ms })?;
+/// Asks another host a question on a connection of its own.
+pub async fn ask<Q: Serialize, R: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    question: &Q,
+) -> Result<R, Fault> {
+    let question = rmp_serde::to_vec(question)?;
     let stream = TcpStream::connect(address).await?;
     harden(&stream)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let request = Request::post(wire::PATH)
+    let request = Request::post(path)
         .header(http::header::HOST, address.to_string())
         .body(Full::new(Bytes::from(question)))
         .map_err(|error| Fault::Cut(error.into()))?;
@@ -131,5 +141,5 @@
             return Err(Fault::Refused(http::StatusCode::SERVICE_UNAVAILABLE));
         }
     };
-    Ok(wire::Reply::decode(&bytes)?)
+    Ok(wire::unpack(&bytes)?)
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
@@ -202,6 +203,7 @@
         revision,
         age_ms: age.map(millis),
         link_mbps: state.options.gateway.link_mbps,
+        is_informed: state.is_informed.load(Ordering::Relaxed),
     }
 }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -59,8 +59,8 @@
     pub body: Bytes,
     /// The prompt that it shares with others.
     pub prompt: Prompt,
-    /// The keys of all beginnings of that prompt, longest first.
-    pub beginnings: Vec<u64>,
+    /// The parts of that prompt, in order.
+    pub parts: Vec<u64>,
     /// The same for the same request of the same caller.
     pub fingerprint: u64,
     /// When its headers had arrived.
@@ -152,28 +152,26 @@
     headers
 }
 
-/// Returns the prompt that a request shares with others, and the keys of its
-/// beginnings, longest first: all parts but the last, which belongs to the request
-/// itself. Without parts the path stands for it.
+/// Returns the prompt that a request shares with others, and its parts: all but
+/// the last, which belongs to the request itself. Without parts the path stands for
+/// it.
 pub fn prompt(parts: &[Part], path: &str) -> (Prompt, Vec<u64>) {
     let shared = match parts {
         [] => &[],
         [only] => std::slice::from_ref(only),
         [shared @ .., _] => shared,
     };
-    let mut key = 0;
-    let keys = shared.iter().map(|part| {
-        key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
-        key
-    });
-    let mut beginnings: Vec<u64> = keys.collect();
-    beginnings.reverse();
-    let whole = beginnings.first().copied();
+    let key = match shared {
+        [] => xxh3_64(path.as_bytes()),
+        _ => shared.iter().fold(0, |key, part| {
+            xxh3_64_with_seed(&part.id.to_le_bytes(), key)
+        }),
+    };
     let prompt = Prompt {
-        key: whole.unwrap_or_else(|| xxh3_64(path.as_bytes())),
+        key,
         tokens: shared.iter().map(|part| part.tokens).sum(),
     };
-    (prompt, beginnings)
+    (prompt, shared.iter().map(|part| part.id).collect())
 }
 
 /// Returns the fingerprint of a request: the same when its caller repeats it.
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -16,6 +16,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -25,6 +26,7 @@
 use crate::gateway::connection::harden;
 use crate::gateway::measure::Knowledge;
 use crate::gateway::state::State;
+use crate::gateway::warmup;
 use crate::lock::lock;
 use crate::log::millis;
 use crate::mirror::wire;
@@ -85,6 +87,7 @@
             Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
         },
         (&Method::POST, wire::PATH) => follow(state, request).await,
+        (&Method::POST, warmup::PATH) => holdings(state),
         _ => respond(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
@@ -136,7 +139,16 @@
             },
         }
     };
-    match reply.encode() {
+    encoded(&reply)
+}
+
+/// Tells a host that starts which upstreams hold which prompts.
+fn holdings(state: &State) -> Response<Full<Bytes>> {
+    encoded(&lock(&state.warm).holdings(Instant::now()))
+}
+
+fn encoded<T: Serialize>(reply: &T) -> Response<Full<Bytes>> {
+    match wire::pack(reply) {
         Ok(bytes) => respond(StatusCode::OK, bytes),
         Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! Which other hosts there are: found through seeds, kept up to date by messages.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -75,6 +76,8 @@
     pub age: Option<Duration>,
     /// The speed of its link, in Mbit/s.
     pub link_mbps: u32,
+    /// Whether it knows which upstreams hold which prompts.
+    pub is_informed: bool,
 }
 
 impl Peer {
@@ -100,6 +103,8 @@
     pub age: Option<Duration>,
     /// The speed of its link, in Mbit/s.
     pub link_mbps: u32,
+    /// Whether it knows which upstreams hold which prompts.
+    pub is_informed: bool,
 }
 
 /// The other hosts, by address.
@@ -138,6 +143,7 @@
             revision: message.revision,
             age: message.age,
             link_mbps: message.link_mbps,
+            is_informed: message.is_informed,
         };
         self.peers.insert(address, peer);
         is_new
@@ -160,6 +166,7 @@
             revision: 0,
             age: None,
             link_mbps: 0,
+            is_informed: false,
         });
         peer.seen = peer.seen.max(seen);
     }
@@ -192,6 +199,20 @@
         best.map(|(address, _, _)| *address)
     }
 
+    /// Returns a live host that knows which upstreams hold which prompts, except for
+    /// some, preferably one of a zone.
+    pub fn informed(
+        &self,
+        now: Instant,
+        zone: &ident::Zone,
+        except: &BTreeSet<Ipv4Addr>,
+    ) -> Option<Ipv4Addr> {
+        let informed = self.live(now).filter(|(_, peer)| peer.is_informed);
+        let others = informed.filter(|(address, _)| !except.contains(address));
+        let best = others.max_by_key(|(_, peer)| peer.zone == *zone);
+        best.map(|(address, _)| *address)
+    }
+
     /// Returns the time since the last message of any host of a zone, if there was one.
     pub fn silence(&self, now: Instant, zone: &ident::Zone) -> Option<Duration> {
         let peers = self.peers.values().filter(|peer| peer.zone == *zone);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -23,6 +23,7 @@
 use crate::gateway::reader;
 use crate::gateway::source::Source;
 use crate::gateway::state::State;
+use crate::gateway::warmup;
 use crate::log;
 use crate::log::millis;
 use crate::options::Options;
@@ -113,6 +114,7 @@
     tokio::spawn(gossip::run(state.clone(), socket));
     tokio::spawn(reader::run(state.clone()));
     tokio::spawn(reader::catch_up(state.clone()));
+    tokio::spawn(warmup::run(state.clone()));
     tokio::spawn(sweep(state.clone()));
     Ok(Bound {
         caller,
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -1,6 +1,8 @@
 //! Reading the platform's store, and what an adapter makes of its items.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
@@ -11,23 +13,23 @@
 use crate::mirror::Event;
 use crate::mirror::Item;
 
-/// Why the store gave no usable answer.
+/// Why the store, or an upstream, gave no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
     /// It can't be reached, or the connection broke.
-    #[error("store not reached: {0}")]
+    #[error("not reached: {0}")]
     Unreached(#[source] Box<dyn std::error::Error + Send + Sync>),
     /// It didn't answer in time.
-    #[error("no answer of the store within {0:?}")]
+    #[error("no answer within {0:?}")]
     Silent(Duration),
     /// It refused.
-    #[error("store refused with status {0}")]
+    #[error("refused with status {0}")]
     Refused(u16),
     /// It no longer knows the changes since the revision asked for.
     #[error("the store's history is gone")]
     HistoryGone,
     /// The answer can't be read.
-    #[error("answer of the store can't be read: {0}")]
+    #[error("answer can't be read: {0}")]
     Unreadable(#[source] Box<dyn std::error::Error + Send + Sync>),
 }
 
@@ -67,6 +69,7 @@
 
 type List = dyn Fn() -> BoxFuture<'static, Result<Whole, Fault>> + Send + Sync;
 type Watch = dyn Fn(u64, Duration) -> BoxFuture<'static, Result<Delta, Fault>> + Send + Sync;
+type Cached = dyn Fn(SocketAddr) -> BoxFuture<'static, Result<BTreeSet<u64>, Fault>> + Send + Sync;
 type Decode = dyn Fn(&str, &[u8]) -> Result<Option<Entry>, Unusable> + Send + Sync;
 
 /// The adapter's way to the store.
@@ -77,4 +80,6 @@
     pub watch: Box<Watch>,
     /// Decodes an item; none for one that doesn't matter here.
     pub decode: Box<Decode>,
+    /// Asks an engine which parts of prompts it holds.
+    pub cached: Box<Cached>,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -98,6 +99,8 @@
     pub urgent: Notify,
     /// Requests of callers under way.
     pub active: AtomicUsize,
+    /// Whether this host knows which upstreams hold which prompts.
+    pub is_informed: AtomicBool,
     /// Connections of callers.
     pub connections: AtomicUsize,
     /// Cancelled when a shutdown begins.
@@ -151,6 +154,7 @@
             behind: Notify::new(),
             urgent: Notify::new(),
             active: AtomicUsize::new(0),
+            is_informed: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -173,6 +173,13 @@
         self.keys.get(key)
     }
 
+    /// Tells whether a service runs requests that share prompts.
+    pub fn is_sticky(&self, service: &ident::Service) -> bool {
+        let routes = self.hosts.values().flatten().filter(|it| it.is_sticky);
+        let mut backends = routes.flat_map(|route| &route.backends);
+        backends.any(|backend| backend.service == *service)
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &ident::Service) -> Option<&Service> {
         self.services.get(name)
--- a/src/gateway/warm.rs
+++ b/src/gateway/warm.rs
@@ -1,70 +1,136 @@
-//! Which upstreams read a prompt lately, at any host.
+//! Which upstreams hold which parts of prompts.
 //!
 //! Answers the load of prompts that many requests share: reading one again costs
 //! more than a longer batch. Hosts exchange where they sent requests, so
 //! that a prompt stays where it is when upstreams come and go, which the order
-//! of rendezvous hashing alone would not give.
+//! of rendezvous hashing alone would not give. After a restart of all hosts the
+//! upstreams' own lists stand in for what nobody remembers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::ident;
+use crate::log::millis;
 
-/// How long an upstream counts as holding a prompt that it doesn't use.
+/// How long an upstream counts as holding a part that it doesn't use.
 const KEPT_FOR: Duration = Duration::from_secs(60);
 
-/// The most prompts remembered.
-const PROMPTS: usize = 16_384;
+/// How long an upstream's own list is valid: by then the parts that matter were
+/// used again.
+const LISTED_FOR: Duration = Duration::from_secs(20);
+
+/// The most parts remembered.
+const PARTS: usize = 16_384;
 
 /// The most placements that wait to be sent to other hosts.
 const UPDATES: usize = 48;
 
-/// Where prompts were sent.
+/// A part, and the upstreams that hold it, with the time since each used it in
+/// milliseconds.
+pub type Holding = (u64, Vec<(ident::Upstream, u64)>);
+
+/// Where parts of prompts were sent.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    prompts: BTreeMap<u64, BTreeMap<ident::Upstream, Instant>>,
+    parts: BTreeMap<u64, BTreeMap<ident::Upstream, Instant>>,
+    listed: BTreeMap<ident::Upstream, List>,
     updates: Vec<(u64, ident::Upstream)>,
 }
 
+/// What an upstream said that it holds.
+#[derive(Clone, Debug)]
+struct List {
+    at: Instant,
+    parts: BTreeSet<u64>,
+}
+
 impl Table {
-    /// Tells whether an upstream holds a prompt, as far as is known.
-    pub fn holds(&self, now: Instant, prompt: u64, upstream: &ident::Upstream) -> bool {
-        let holders = self.prompts.get(&prompt);
+    /// Tells whether an upstream holds a part, as far as is known.
+    pub fn holds(&self, now: Instant, part: u64, upstream: &ident::Upstream) -> bool {
+        let holders = self.parts.get(&part);
         let used = holders.and_then(|holders| holders.get(upstream));
-        used.is_some_and(|at| now.duration_since(*at) < KEPT_FOR)
+        let is_used = used.is_some_and(|at| now.duration_since(*at) < KEPT_FOR);
+        let list = self.listed.get(upstream);
+        is_used || list.is_some_and(|list| list.holds(now, part))
     }
 
-    /// Returns the upstreams that hold a prompt, as far as is known.
-    pub fn holders(&self, now: Instant, prompt: u64) -> impl Iterator<Item = &ident::Upstream> {
-        let holders = self.prompts.get(&prompt).into_iter().flatten();
-        let fresh = holders.filter(move |(_, at)| now.duration_since(**at) < KEPT_FOR);
-        fresh.map(|(upstream, _)| upstream)
+    /// Returns how many parts of a prompt an upstream holds, from the first on: the
+    /// rest has to be read.
+    pub fn depth(&self, now: Instant, parts: &[u64], upstream: &ident::Upstream) -> usize {
+        let held = parts.iter();
+        held.take_while(|part| self.holds(now, **part, upstream))
+            .count()
     }
 
-    /// Records that this host sent a prompt to an upstream, and tells whether the
+    /// Returns the upstreams that hold a part, as far as is known.
+    pub fn holders(&self, now: Instant, part: u64) -> BTreeSet<&ident::Upstream> {
+        let holders = self.parts.get(&part).into_iter().flatten();
+        let used = holders.filter(|(_, at)| now.duration_since(**at) < KEPT_FOR);
+        let used = used.map(|(upstream, _)| upstream);
+        let listed = self.listed.iter().filter(|(_, list)| list.holds(now, part));
+        used.chain(listed.map(|(upstream, _)| upstream)).collect()
+    }
+
+    /// Records that this host sent a part to an upstream, and tells whether the
     /// upstream wasn't known to hold it.
-    pub fn record(&mut self, now: Instant, prompt: u64, upstream: &ident::Upstream) -> bool {
-        let is_new = !self.holds(now, prompt, upstream);
-        self.learn(now, prompt, upstream);
+    pub fn record(&mut self, now: Instant, part: u64, upstream: &ident::Upstream) -> bool {
+        let is_new = !self.holds(now, part, upstream);
+        self.learn(now, part, upstream);
         let is_pending = self
             .updates
             .iter()
-            .any(|(it, to)| *it == prompt && to == upstream);
+            .any(|(it, to)| *it == part && to == upstream);
         if !is_pending && self.updates.len() < UPDATES {
-            self.updates.push((prompt, upstream.clone()));
+            self.updates.push((part, upstream.clone()));
         }
         is_new
     }
 
-    /// Takes in that another host sent a prompt to an upstream.
-    pub fn learn(&mut self, now: Instant, prompt: u64, upstream: &ident::Upstream) {
-        if self.prompts.len() >= PROMPTS && !self.prompts.contains_key(&prompt) {
+    /// Takes in that another host sent a part to an upstream.
+    pub fn learn(&mut self, now: Instant, part: u64, upstream: &ident::Upstream) {
+        self.use_at(now, part, upstream, now);
+    }
+
+    fn use_at(&mut self, now: Instant, part: u64, upstream: &ident::Upstream, at: Instant) {
+        if self.parts.len() >= PARTS && !self.parts.contains_key(&part) {
             self.expire(now);
         }
-        let holders = self.prompts.entry(prompt).or_default();
-        holders.insert(upstream.clone(), now);
+        let holders = self.parts.entry(part).or_default();
+        let used = holders.entry(upstream.clone()).or_insert(at);
+        *used = at.max(*used);
+    }
+
+    /// Takes in what an upstream says that it holds.
+    pub fn list(&mut self, now: Instant, upstream: &ident::Upstream, parts: BTreeSet<u64>) {
+        let list = List { at: now, parts };
+        self.listed.insert(upstream.clone(), list);
+    }
+
+    /// Returns which upstreams used which parts lately, for a host that knows
+    /// nothing.
+    pub fn holdings(&self, now: Instant) -> Vec<Holding> {
+        let holdings = self.parts.iter().map(|(part, holders)| {
+            let since = |at: &Instant| now.duration_since(*at);
+            let fresh = holders.iter().filter(|(_, at)| since(at) < KEPT_FOR);
+            let fresh = fresh.map(|(upstream, at)| (upstream.clone(), millis(since(at))));
+            (*part, fresh.collect::<Vec<_>>())
+        });
+        holdings.filter(|(_, held)| !held.is_empty()).collect()
+    }
+
+    /// Takes in what another host knows.
+    pub fn adopt(&mut self, now: Instant, holdings: &[Holding]) {
+        for (part, holders) in holdings {
+            for (upstream, since_ms) in holders {
+                let at = now.checked_sub(Duration::from_millis(*since_ms));
+                if let Some(at) = at {
+                    self.use_at(now, *part, upstream, at);
+                }
+            }
+        }
     }
 
     /// Returns the placements of this host since the last call.
@@ -74,20 +140,27 @@
 
     /// Forgets an upstream that is gone or was started anew.
     pub fn forget(&mut self, upstream: &ident::Upstream) {
-        for holders in self.prompts.values_mut() {
+        for holders in self.parts.values_mut() {
             holders.remove(upstream);
         }
-        self.prompts.retain(|_, holders| !holders.is_empty());
+        self.parts.retain(|_, holders| !holders.is_empty());
+        self.listed.remove(upstream);
     }
 
     /// Forgets placements that are old, or all if that makes no room.
     fn expire(&mut self, now: Instant) {
-        for holders in self.prompts.values_mut() {
+        for holders in self.parts.values_mut() {
             holders.retain(|_, at| now.duration_since(*at) < KEPT_FOR);
         }
-        self.prompts.retain(|_, holders| !holders.is_empty());
-        if self.prompts.len() >= PROMPTS {
-            self.prompts.clear();
+        self.parts.retain(|_, holders| !holders.is_empty());
+        if self.parts.len() >= PARTS {
+            self.parts.clear();
         }
     }
 }
+
+impl List {
+    fn holds(&self, now: Instant, part: u64) -> bool {
+        now.duration_since(self.at) < LISTED_FOR && self.parts.contains(&part)
+    }
+}
--- /dev/null
+++ b/src/gateway/warmup.rs
@@ -0,0 +1,137 @@
+//! What a host that starts learns of the upstreams' caches.
+//!
+//! Answers the load after restarts: a host that doesn't know where prompts are held
+//! has them read again. It asks a host that knows; where all have just
+//! started, it asks the engines themselves.
+
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tracing::info;
+
+use crate::boot;
+use crate::gateway::follow;
+use crate::gateway::reader;
+use crate::gateway::source;
+use crate::gateway::state::State;
+use crate::gateway::upstream::Known;
+use crate::gateway::warm::Holding;
+use crate::lock::lock;
+use crate::log::millis;
+
+/// The path at which a host tells which upstreams hold which prompts.
+pub const PATH: &str = "/prompts";
+
+/// How long a host looks for others that know: they send messages several times in
+/// that time.
+const PEERS_FOR: Duration = Duration::from_millis(300);
+
+/// How long a host that learned from no other hears where prompts are used until it
+/// tells others: by then most were used.
+const INFORMED_AFTER: Duration = Duration::from_secs(10);
+
+/// Time between two looks.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// The longest that an answer may take.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// Learns once what other hosts or the engines know.
+pub async fn run(state: Arc<State>) {
+    let informed = async {
+        if !state.options.gateway.first_start && !learn_from_any(&state).await {
+            learn_from_engines(&state).await;
+            tokio::time::sleep(INFORMED_AFTER).await;
+        }
+    };
+    tokio::select! {
+        () = state.stop.cancelled() => {}
+        () = informed => state.is_informed.store(true, Ordering::Relaxed),
+    }
+}
+
+/// Asks hosts that know until one answers, and tells whether one did.
+async fn learn_from_any(state: &Arc<State>) -> bool {
+    let began = Instant::now();
+    let mut asked = BTreeSet::new();
+    loop {
+        let now = Instant::now();
+        let zone = &state.options.host.zone;
+        let peer = lock(&state.peers).informed(now, zone, &asked);
+        let is_over = now.duration_since(began) >= PEERS_FOR;
+        match peer {
+            Some(peer) => {
+                asked.insert(peer);
+                if learn_from(state, peer).await {
+                    return true;
+                }
+            }
+            None if is_over && lock(&state.view).table().is_some() => return false,
+            None => tokio::time::sleep(LOOK_AGAIN).await,
+        }
+    }
+}
+
+/// Asks another host, and tells whether it answered.
+async fn learn_from(state: &State, peer: Ipv4Addr) -> bool {
+    let address = SocketAddr::from((peer, state.options.host.peer.port()));
+    match ask(address).await {
+        Ok(holdings) => {
+            info!(%peer, parts = holdings.len(), "prompts: learned from a host");
+            lock(&state.warm).adopt(Instant::now(), &holdings);
+            true
+        }
+        Err(lost) => {
+            info!(%peer, %lost, "prompts: not learned from a host");
+            false
+        }
+    }
+}
+
+/// Asks a host which upstreams hold which prompts.
+pub async fn ask(address: SocketAddr) -> Result<Vec<Holding>, follow::Fault> {
+    let asked = timeout(PATIENCE, follow::ask(address, PATH, &())).await;
+    asked.map_err(|_| follow::Fault::Silent(PATIENCE))?
+}
+
+/// Asks all engines at once, unless hosts are so many that this would slow them.
+async fn learn_from_engines(state: &State) {
+    if reader::is_large(&lock(&state.peers), Instant::now()) {
+        return;
+    }
+    let engines: Vec<Arc<Known>> = {
+        let view = state.view();
+        let table = view.table().cloned();
+        let usable = view.usable(boot::Instant::now());
+        let engines = usable.filter(|known| {
+            let service = &known.upstream.service;
+            table.as_ref().is_some_and(|table| table.is_sticky(service))
+        });
+        engines.cloned().collect()
+    };
+    join_all(engines.iter().map(|engine| list(state, engine))).await;
+}
+
+async fn list(state: &State, engine: &Known) {
+    let began = Instant::now();
+    let upstream = &engine.upstream;
+    let asked = timeout(PATIENCE, (state.source.cached)(upstream.address)).await;
+    match asked.unwrap_or(Err(source::Fault::Silent(PATIENCE))) {
+        Ok(parts) => {
+            let now = Instant::now();
+            let took_ms = millis(now.duration_since(began));
+            info!(upstream = %upstream.id, parts = parts.len(), took_ms, "prompts: learned from an engine");
+            lock(&state.warm).list(now, &upstream.id, parts);
+        }
+        Err(fault) => {
+            info!(upstream = %upstream.id, %fault, "prompts: not learned from an engine");
+        }
+    }
+}
--- a/src/mirror/wire.rs
+++ b/src/mirror/wire.rs
@@ -1,9 +1,10 @@
-//! What a follower asks another host, and the answer, as `rmp-serde`.
+//! What hosts ask each other over HTTP, and the answers, as `rmp-serde`.
 
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::mirror::Event;
 use crate::mirror::Item;
@@ -53,18 +54,16 @@
     pub content: Content,
 }
 
-impl Reply {
-    /// Encodes a reply, compressed: hosts with slow links follow too.
-    pub fn encode(&self) -> Result<Vec<u8>, Fault> {
-        let bytes = rmp_serde::to_vec(self)?;
-        Ok(lz4_flex::compress_prepend_size(&bytes))
-    }
+/// Encodes a reply, compressed: hosts with slow links ask too.
+pub fn pack<T: Serialize>(reply: &T) -> Result<Vec<u8>, Fault> {
+    let bytes = rmp_serde::to_vec(reply)?;
+    Ok(lz4_flex::compress_prepend_size(&bytes))
+}
 
-    /// Decodes a reply.
-    pub fn decode(bytes: &[u8]) -> Result<Self, Fault> {
-        let bytes = lz4_flex::decompress_size_prepended(bytes)?;
-        Ok(rmp_serde::from_slice(&bytes)?)
-    }
+/// Decodes a reply.
+pub fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
+    let bytes = lz4_flex::decompress_size_prepended(bytes)?;
+    Ok(rmp_serde::from_slice(&bytes)?)
 }
 
 /// What changed since the follower's revision.
--- a/src/options/constants.rs
+++ b/src/options/constants.rs
@@ -109,3 +109,6 @@
 pub const GATEWAY_COLD_SLACK: f64 = 0.0;
 /// The speed of a host's link, in Mbit/s.
 pub const GATEWAY_LINK_MBPS: u32 = 1_000;
+/// Whether the whole fleet starts for the first time: a host that isn't told asks
+/// others, which costs little.
+pub const GATEWAY_FIRST_START: bool = false;
--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -33,6 +33,9 @@
     /// The speed of this host's link, in Mbit/s: hosts with fast ones pass on what
     /// the store holds.
     pub link_mbps: u32,
+    /// Whether the whole fleet starts for the first time, with upstreams that hold
+    /// nothing yet.
+    pub first_start: bool,
 }
 
 impl Gateway {
@@ -68,6 +71,7 @@
             cold_overage: constants::GATEWAY_COLD_OVERAGE,
             cold_slack: constants::GATEWAY_COLD_SLACK,
             link_mbps: constants::GATEWAY_LINK_MBPS,
+            first_start: constants::GATEWAY_FIRST_START,
         }
     }
 }
@@ -89,6 +93,7 @@
             cold_overage: from.cold_overage.unwrap_or(usual.cold_overage),
             cold_slack: from.cold_slack.unwrap_or(usual.cold_slack),
             link_mbps: from.link_mbps.map_or(usual.link_mbps, |speed| speed as u32),
+            first_start: from.first_start.unwrap_or(usual.first_start),
         }
     }
 }
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -1,17 +1,21 @@
 //! A gateway in this process, with a store of a few items.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderName;
 use masticmoor::boot;
 use masticmoor::gateway::State;
 use masticmoor::gateway::names::Names;
+use masticmoor::gateway::names::Part;
 use masticmoor::gateway::serve;
 use masticmoor::gateway::source::Delta;
 use masticmoor::gateway::source::Entry;
@@ -29,6 +33,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::PATIENCE;
@@ -57,6 +62,8 @@
 pub struct Host {
     /// Where it takes callers.
     pub caller: SocketAddr,
+    /// Where it answers other hosts.
+    pub peer: SocketAddr,
     state: Arc<State>,
     store: Arc<Store>,
 }
@@ -68,14 +75,30 @@
     /// Whether the table was published anew, without keys.
     is_revoked: AtomicBool,
     changed: Notify,
+    /// What engines answer when they are asked for the parts that they hold.
+    cached: Mutex<BTreeMap<SocketAddr, BTreeSet<u64>>>,
 }
 
 impl Host {
     /// Starts a gateway with one route of a kind to some upstreams, and waits
     /// until it is ready.
     pub async fn start(kind: Kind, upstreams: &[&Upstream]) -> Self {
+        Self::start_among(kind, upstreams, &[]).await
+    }
+
+    /// The same; some of the upstreams list parts of prompts that they hold.
+    pub async fn start_among(
+        kind: Kind,
+        upstreams: &[&Upstream],
+        cached: &[(&Upstream, &[u64])],
+    ) -> Self {
         let listed = upstreams.iter().map(|it| (it.id, it.address)).collect();
         let host = Self::run(Some(kind), listed).await;
+        let cached = cached.iter().map(|(it, parts)| {
+            let parts = parts.iter().copied().collect();
+            (it.address, parts)
+        });
+        lock(&host.store.cached).extend(cached);
         let ready = async {
             while !host.is_ready() {
                 tokio::time::sleep(Duration::from_millis(5)).await;
@@ -101,6 +124,7 @@
         let bound = serve::start(&state).await.unwrap();
         Self {
             caller: bound.caller,
+            peer: bound.peer,
             state,
             store,
         }
@@ -111,6 +135,11 @@
         self.state.is_ready(boot::Instant::now())
     }
 
+    /// Returns how many parts of a prompt it thinks that an upstream holds.
+    pub fn depth(&self, upstream: &Upstream, parts: &[u64]) -> usize {
+        lock(&self.state.warm).depth(Instant::now(), parts, &upstream.id.into())
+    }
+
     /// Lets no call to the store be answered any more.
     pub fn silence_store(&self) {
         self.store.is_silent.store(true, Ordering::Relaxed);
@@ -154,11 +183,19 @@
         priority: name("x-priority"),
         fetch: name("x-fetch"),
         reserved: vec![name("x-reserved")],
-        parts: |_| Vec::new(),
+        parts,
         rank: |priority| priority,
     }
 }
 
+/// Reads the parts of a prompt as their names, each a thousand tokens.
+fn parts(headers: &HeaderMap) -> Vec<Part> {
+    let text = headers.get("x-parts").map(|it| it.to_str().unwrap());
+    let names = text.unwrap_or_default().split(',');
+    let ids = names.filter_map(|name| name.parse().ok());
+    ids.map(|id| Part { id, tokens: 1_000 }).collect()
+}
+
 fn source(
     kind: Option<Kind>,
     listed: Vec<(&'static str, SocketAddr)>,
@@ -209,6 +246,13 @@
             };
             Ok(entry)
         }),
+        cached: Box::new({
+            let store = store.clone();
+            move |address| {
+                let cached = lock(&store.cached).get(&address).cloned();
+                Box::pin(async move { cached.ok_or(Fault::Refused(404)) })
+            }
+        }),
     }
 }
 
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use masticmoor::gateway::table::Kind;
+use masticmoor::gateway::warmup;
 use masticmoor::outcome::Outcome;
 
 use crate::caller::Reply;
@@ -313,3 +314,42 @@
     // Three crashes and the tries under way when the third came.
     assert!(runs(&all) <= 6, "{}", runs(&all));
 }
+
+#[tokio::test]
+async fn a_host_tells_another_which_upstream_holds_which_parts() {
+    let one = Upstream::start("u1", |_| Step::Answer(200, "plan")).await;
+    let host = Host::start(Kind::ResumableStream, &[&one]).await;
+    let parts = [("x-parts", "1,2,3")];
+    let reply = caller::ask(host.caller, "a1", &parts).await;
+    assert_eq!(reply.status, 200);
+    let holdings = warmup::ask(host.peer).await.unwrap();
+    // The last part belongs to the request itself.
+    let held: Vec<u64> = holdings.iter().map(|(part, _)| *part).collect();
+    assert_eq!(held, [1, 2]);
+    assert!(holdings.iter().all(|(_, held)| held[0].0 == one.id.into()));
+}
+
+#[tokio::test]
+async fn where_no_host_knows_the_engines_say_what_they_hold() {
+    let streams = |_| Step::Stream {
+        from: 0,
+        to: 2,
+        torn: false,
+    };
+    for (holder, other) in [("u1", "u2"), ("u2", "u1")] {
+        let one = Upstream::start(holder, streams).await;
+        let two = Upstream::start(other, streams).await;
+        let cached: [(&Upstream, &[u64]); 1] = [(&one, &[1, 2, 9])];
+        let host = Host::start_among(Kind::ResumableStream, &[&one, &two], &cached).await;
+        let learned = async {
+            while host.depth(&one, &[1, 2]) < 2 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, learned).await.unwrap();
+        let parts = [("x-parts", "1,2,3")];
+        let reply = caller::ask(host.caller, "a1", &parts).await;
+        assert_eq!(reply.status, 200);
+        assert_eq!((runs(&[&one]), runs(&[&two])), (1, 0), "{holder} holds it");
+    }
+}
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -43,6 +43,7 @@
         revision: 1,
         age: Some(Duration::ZERO),
         link_mbps: 10,
+        is_informed: false,
     }
 }
 
@@ -188,6 +189,7 @@
     let id = |number| format!("{prefix}-{number:010x}").as_str().into();
     datagram::Summary {
         sender: datagram::Sender {
+            is_informed: false,
             process: 1,
             zone: zone(1),
             is_leaving: false,
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -286,6 +286,7 @@
         revision: 1,
         age: Some(Duration::ZERO),
         link_mbps: 10,
+        is_informed: false,
     }
 }
 
@@ -363,7 +364,77 @@
     assert!(warm.holds(Instant::now(), 9, &id));
     warm.forget(&id);
     assert!(!warm.holds(Instant::now(), 9, &id));
-    assert_eq!(warm.holders(Instant::now(), 9).count(), 0);
+    assert!(warm.holders(Instant::now(), 9).is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_prompt_is_held_as_far_as_its_parts_follow_each_other() {
+    let mut warm = warm::Table::default();
+    let id = "u1".into();
+    let now = Instant::now();
+    warm.record(now, 1, &id);
+    warm.record(now, 3, &id);
+    assert_eq!(warm.depth(now, &[1, 2, 3], &id), 1);
+    warm.record(now, 2, &id);
+    assert_eq!(warm.depth(now, &[1, 2, 3], &id), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_an_engine_lists_counts_for_a_while_and_goes_with_it() {
+    let mut warm = warm::Table::default();
+    let id = "u1".into();
+    let now = Instant::now();
+    warm.list(now, &id, [1, 2].into());
+    assert_eq!(warm.depth(now, &[1, 2, 3], &id), 2);
+    assert_eq!(warm.holders(now, 2), [&id].into());
+    // Others learn of what was used, not of all that an engine happens to hold.
+    assert!(warm.holdings(now).is_empty());
+    let later = now + Duration::from_secs(60);
+    assert_eq!(warm.depth(later, &[1, 2], &id), 0);
+    warm.forget(&id);
+    assert_eq!(warm.depth(now, &[1, 2], &id), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_host_that_starts_knows_what_another_knew_and_for_how_long() {
+    let mut old = warm::Table::default();
+    let id = "u1".into();
+    let now = Instant::now();
+    old.record(now, 7, &id);
+    tokio::time::advance(Duration::from_secs(50)).await;
+    let now = Instant::now();
+    old.record(now, 8, &id);
+    let mut new = warm::Table::default();
+    new.adopt(now, &old.holdings(now));
+    assert_eq!(new.depth(now, &[7, 8], &id), 2);
+    assert!(new.take_updates().is_empty(), "others know it already");
+    let later = now + Duration::from_secs(20);
+    assert!(!new.holds(later, 7, &id));
+    assert!(new.holds(later, 8, &id));
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_live_hosts_that_know_are_asked_near_ones_first() {
+    let address = |last| Ipv4Addr::new(10, 0, 0, last);
+    let now = Instant::now();
+    let mut table = peers::Table::new(address(1), Vec::new());
+    let informed = |zone: &str, is_informed| peers::Announcement {
+        zone: zone.into(),
+        is_informed,
+        ..announcement(1)
+    };
+    table.receive(now, address(2), informed("z1", false));
+    table.receive(now, address(3), informed("z2", true));
+    let zone = "z1".into();
+    let next = |table: &peers::Table, now, asked: &[Ipv4Addr]| {
+        table.informed(now, &zone, &asked.iter().copied().collect())
+    };
+    assert_eq!(next(&table, now, &[]), Some(address(3)));
+    table.receive(now, address(4), informed("z1", true));
+    assert_eq!(next(&table, now, &[]), Some(address(4)));
+    assert_eq!(next(&table, now, &[address(4)]), Some(address(3)));
+    let later = now + Duration::from_secs(5);
+    assert_eq!(next(&table, later, &[]), None);
 }
 
 proptest! {
--- a/tests/mirror_table.rs
+++ b/tests/mirror_table.rs
@@ -8,6 +8,7 @@
 use masticmoor::mirror::Event;
 use masticmoor::mirror::Item;
 use masticmoor::mirror::Table;
+use masticmoor::mirror::wire;
 use masticmoor::mirror::wire::Content;
 use masticmoor::mirror::wire::Reply;
 
@@ -110,7 +111,9 @@
         settling_ms: 3,
         content: Content::Changes(vec![event("a", 9, Some("x")), event("b", 8, None)]),
     };
-    let bytes = reply.encode();
-    assert!(matches!(bytes.map(|bytes| Reply::decode(&bytes)), Ok(Ok(same)) if same == reply));
-    assert!(Reply::decode(b"rubbish that isn't a reply").is_err());
+    let bytes = wire::pack(&reply);
+    assert!(
+        matches!(bytes.map(|bytes| wire::unpack::<Reply>(&bytes)), Ok(Ok(same)) if same == reply)
+    );
+    assert!(wire::unpack::<Reply>(b"rubbish that isn't a reply").is_err());
 }
