Read settings again while the gateway runs

Cause: the platform may replace the settings file with a signal or without one, and a running host went on with the bounds and seeds of its start; a hang-up signal was logged only. Bounds on upstreams, keys and shutdown, and seeds, take effect at once; what a listener or a socket was opened with waits for the next start, and the log names it. A file with faults, in part or away changes nothing.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,6 +30,7 @@
 pub mod reader;
 pub mod refusal;
 pub mod relay;
+pub mod reload;
 pub mod serve;
 pub mod source;
 pub mod state;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -210,7 +210,7 @@
 fn may_retry(state: &State, job: &Job) -> bool {
     let now = Instant::now();
     let hosts = lock(&state.peers).sharing(now);
-    let limits = state.options.gateway.retries();
+    let limits = state.bounds().retries();
     let granted = lock(&state.retries).spend(now, &job.service, &limits, hosts);
     if !granted {
         info!(id = job.id, service = %job.service, hosts, "request: no retry left in the budget");
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -47,8 +47,8 @@
         let most = view.table().and_then(|table| {
             let service = table.service(&job.service)?;
             let per_second = service.cold_per_second?;
-            let gateway = &self.options.gateway;
-            Some(per_second * gateway.cold_overage + gateway.cold_slack)
+            let bounds = self.bounds();
+            Some(per_second * bounds.cold_overage + bounds.cold_slack)
         });
         let rooms: Vec<Option<usize>> = usable
             .iter()
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -76,7 +76,7 @@
 
 /// Returns the time to the next message, by how many hosts each goes to.
 fn pause(state: &State, hosts: usize) -> Duration {
-    let least = state.options.gateway.gossip_pause;
+    let least = state.bounds().gossip_pause;
     least.max(Duration::from_secs_f64(hosts as f64 / MESSAGES_PER_SECOND))
 }
 
@@ -186,7 +186,7 @@
     Own {
         address: state.address,
         zone: &state.options.host.zone,
-        link_mbps: state.options.gateway.link_mbps,
+        link_mbps: state.bounds().link_mbps,
     }
 }
 
@@ -202,7 +202,7 @@
         is_leaving: state.draining.is_cancelled(),
         revision,
         age_ms: age.map(millis),
-        link_mbps: state.options.gateway.link_mbps,
+        link_mbps: state.bounds().link_mbps,
         is_informed: state.is_informed.load(Ordering::Relaxed),
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -120,14 +120,23 @@
 impl Table {
     /// Creates a table that knows the seeds only.
     pub fn new(own: Ipv4Addr, seeds: Vec<Ipv4Addr>) -> Self {
-        let seeds = seeds.into_iter().filter(|seed| *seed != own).collect();
-        Self {
+        let mut table = Self {
             own,
-            seeds,
+            seeds: Vec::new(),
             peers: BTreeMap::new(),
             turn: 0,
             began: None,
-        }
+        };
+        table.set_seeds(seeds);
+        table
+    }
+
+    /// Replaces the seeds, and tells whether they are others.
+    pub fn set_seeds(&mut self, seeds: Vec<Ipv4Addr>) -> bool {
+        let own = self.own;
+        let seeds = seeds.into_iter().filter(|seed| *seed != own).collect();
+        let old = std::mem::replace(&mut self.seeds, seeds);
+        old != self.seeds
     }
 
     /// Takes in a message of a host, and tells whether it is a new run of it.
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -115,7 +115,7 @@
     if !is_large(&peers, now) {
         return true;
     }
-    let own = rank(state.options.gateway.link_mbps, &state.address);
+    let own = rank(state.bounds().link_mbps, &state.address);
     let zone = &state.options.host.zone;
     let near = peers.live(now).filter(|(_, peer)| peer.zone == *zone);
     let before = near.filter(|(address, peer)| rank(peer.link_mbps, address) > own);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -21,6 +21,7 @@
 use crate::gateway::names::Names;
 use crate::gateway::operator;
 use crate::gateway::reader;
+use crate::gateway::reload;
 use crate::gateway::source::Source;
 use crate::gateway::state::State;
 use crate::gateway::warmup;
@@ -64,8 +65,10 @@
 }
 
 /// Runs a gateway until it is told to stop. Returns how many requests were cut.
+/// `settings` is the file that `options` were read from.
 pub async fn run(
     options: Options,
+    mut settings: reload::File,
     names: Names,
     source: Source,
     budget: &log::Budget,
@@ -78,11 +81,13 @@
     let host = &state.options.host;
     info!(host = %host.name, zone = %host.zone, process = state.process, "gateway: started");
     let mut report = tokio::time::interval(REPORT);
+    let mut look = tokio::time::interval(reload::LOOK);
     loop {
         tokio::select! {
             _ = report.tick() => budget.report(),
             _ = terminate.recv() => break,
-            _ = hangup.recv() => info!("gateway: settings stay as they were at the start"),
+            _ = hangup.recv() => settings.look(&state),
+            _ = look.tick() => settings.look(&state),
         }
     }
     Ok(drain(&state).await)
@@ -133,7 +138,7 @@
     state.urgent.notify_one();
     tokio::time::sleep(LINGER).await;
     state.closing.cancel();
-    let grace = state.options.gateway.grace.saturating_sub(GRACE_MARGIN);
+    let grace = state.bounds().grace.saturating_sub(GRACE_MARGIN);
     // A new connection may carry a request that wasn't read yet.
     while connections() > 0 && began.elapsed() < grace {
         tokio::time::sleep(DRAIN_LOOK).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,7 +12,8 @@
 //! 7. `warm`: where prompts were sent
 //! 8. `retries`: the budget for retries
 //! 9. `strikes`: requests that crashed upstreams
-//! 10. `meter`: counters and histograms, and the connections' own
+//! 10. `bounds`: the settings in force
+//! 11. `meter`: counters and histograms, and the connections' own
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -41,6 +42,7 @@
 use crate::gateway::warm;
 use crate::lock::lock;
 use crate::mirror;
+use crate::options;
 use crate::options::Options;
 use crate::policy::strike;
 
@@ -55,8 +57,10 @@
 
 /// Everything that the tasks of a gateway share.
 pub struct State {
-    /// The settings.
+    /// The settings as they were at the start.
     pub options: Options,
+    /// Those of the gateway that are in force.
+    pub bounds: Mutex<Arc<options::Gateway>>,
     /// This run of the process.
     pub process: u64,
     /// The address at which other hosts know this one.
@@ -112,6 +116,16 @@
     random: Mutex<StdRng>,
 }
 
+/// Returns the hosts that settings name to begin with.
+pub fn seeds(options: &Options) -> Vec<Ipv4Addr> {
+    let seeds = options.peer.seeds.iter().map(|seed| seed.ip());
+    let seeds = seeds.filter_map(|address| match address {
+        std::net::IpAddr::V4(address) => Some(address),
+        std::net::IpAddr::V6(_) => None,
+    });
+    seeds.collect()
+}
+
 impl State {
     /// Returns the tables of a host that knows nothing yet.
     pub fn new(options: Options, names: Names, source: Source, mut random: StdRng) -> Self {
@@ -119,16 +133,9 @@
             std::net::IpAddr::V4(address) => address,
             std::net::IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
         };
-        let seeds = options
-            .peer
-            .seeds
-            .iter()
-            .filter_map(|seed| match seed.ip() {
-                std::net::IpAddr::V4(address) => Some(address),
-                std::net::IpAddr::V6(_) => None,
-            });
-        let peers = peers::Table::new(address, seeds.collect());
+        let peers = peers::Table::new(address, seeds(&options));
         Self {
+            bounds: Mutex::new(Arc::new(options.gateway.clone())),
             process: random.random(),
             address,
             names,
@@ -164,6 +171,11 @@
         }
     }
 
+    /// Returns the settings of the gateway that are in force.
+    pub fn bounds(&self) -> Arc<options::Gateway> {
+        lock(&self.bounds).clone()
+    }
+
     /// Returns what the store's items mean.
     pub fn view(&self) -> Arc<View> {
         lock(&self.view).clone()
@@ -179,7 +191,7 @@
     /// than operators allow without this host knowing.
     pub fn vouches_for_keys(&self, now: boot::Instant) -> bool {
         let age = self.age(now);
-        age.is_some_and(|age| age < self.options.gateway.key_age())
+        age.is_some_and(|age| age < self.bounds().key_age())
     }
 
     /// Tells whether the balancer should send callers here.
--- a/src/options.rs
+++ b/src/options.rs
@@ -36,7 +36,8 @@
 
 use crate::check::Fault;
 
-/// All settings of a host. They stay as they are while the process lives.
+/// All settings of a host. They stay as they are while the process lives, but for
+/// what [`crate::gateway::reload`] names.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// Who this host is and where it listens.
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -39,7 +39,8 @@
 use crate::PATIENCE;
 use crate::upstream::Upstream;
 
-const SETTINGS: &str = r#"
+/// The settings of each gateway.
+pub const SETTINGS: &str = r#"
 [host]
 name = "h1"
 zone = "z1"
@@ -64,7 +65,8 @@
     pub caller: SocketAddr,
     /// Where it answers other hosts.
     pub peer: SocketAddr,
-    state: Arc<State>,
+    /// Its tables.
+    pub state: Arc<State>,
     store: Arc<Store>,
 }
 
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -8,6 +8,7 @@
 
 mod caller;
 mod host;
+mod settings;
 mod upstream;
 
 use std::time::Duration;
