Ask engines for their prompts only where they are few

Cause: hosts that start together don't know yet how many they are. Ruled out: waiting until the fleet is known, as most prompts are placed by then; telling others what one host listed, some megabytes at each such start. Change: engines are asked where there are at most 32. Test: where_engines_are_many_no_host_asks_them fails with the bound taken out.

--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -18,7 +18,6 @@
 
 use crate::boot;
 use crate::gateway::follow;
-use crate::gateway::reader;
 use crate::gateway::source;
 use crate::gateway::state::State;
 use crate::gateway::upstream::Known;
@@ -37,6 +36,10 @@
 /// tells others: by then most were used.
 const INFORMED_AFTER: Duration = Duration::from_secs(10);
 
+/// The most engines that each host asks: where there are more, hosts are many, too,
+/// and as all start together they don't know yet how many.
+const ENGINES: usize = 32;
+
 /// Time between two looks.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -101,11 +104,8 @@
     asked.map_err(|_| follow::Fault::Silent(PATIENCE))?
 }
 
-/// Asks all engines at once, unless hosts are so many that this would slow them.
+/// Asks all engines at once, where they are few.
 async fn learn_from_engines(state: &State) {
-    if reader::is_large(&lock(&state.peers), Instant::now()) {
-        return;
-    }
     let engines: Vec<Arc<Known>> = {
         let view = state.view();
         let table = view.table().cloned();
@@ -116,7 +116,10 @@
         });
         engines.cloned().collect()
     };
-    join_all(engines.iter().map(|engine| list(state, engine))).await;
+    match engines.len() <= ENGINES {
+        true => drop(join_all(engines.iter().map(|engine| list(state, engine))).await),
+        false => info!(engines = engines.len(), "prompts: too many engines to ask"),
+    }
 }
 
 async fn list(state: &State, engine: &Known) {
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use masticmoor::gateway::table::Kind;
 use masticmoor::gateway::warmup;
 use masticmoor::outcome::Outcome;
@@ -354,3 +355,22 @@
         assert_eq!((runs(&[&one]), runs(&[&two])), (1, 0), "{holder} holds it");
     }
 }
+
+/// Hosts that start together can't tell how many they are: what bounds the questions
+/// is the number of engines.
+#[tokio::test]
+async fn where_engines_are_many_no_host_asks_them() {
+    let one = Upstream::start("u1", |_| Step::Answer(200, "plan")).await;
+    for (others, learned) in [(31, 1), (32, 0)] {
+        let names: Vec<&'static str> = (0..others)
+            .map(|number| &*format!("v{number}").leak())
+            .collect();
+        let mut all = vec![&one];
+        let idle: Vec<Upstream> = join_all(names.into_iter().map(Upstream::refusing)).await;
+        all.extend(&idle);
+        let cached: [(&Upstream, &[u64]); 1] = [(&one, &[1])];
+        let host = Host::start_among(Kind::ResumableStream, &all, &cached).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(host.depth(&one, &[1]), learned, "{others} others");
+    }
+}
