Read published values in config, so that state doesn't depend on the daemon

Cause: the shared tables used a type of daemon::adopt, which uses the shared tables. Change: values, their cache and their faults move to config::value. A kept value that can't be read any more is logged in place of being left out in silence; no other behaviour changed.

--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,7 @@
 pub mod pull;
 pub mod relay;
 pub mod store;
+pub mod value;
 pub mod version;
 pub mod watch;
 
--- a/src/daemon/adopt.rs
+++ b/src/daemon/adopt.rs
@@ -1,88 +1,33 @@
 //! Published values: checked before they are adopted, and put in force as one
 //! plan.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use tokio::time::Instant;
 
-use crate::check::Fault;
 use crate::config::key::Key;
 use crate::config::relay;
 use crate::config::relay::Give;
 use crate::config::store::Adoption;
+use crate::config::value;
+use crate::config::value::Value;
 use crate::config::version;
 use crate::lock::lock;
 use crate::member::held::Held;
 use crate::plan::Plan;
-use crate::register;
 use crate::register::Register;
-use crate::register::workspace;
 use crate::revision::Revision;
-use crate::rules;
 use crate::rules::Rules;
 use crate::state::State;
 
-/// A value with faults.
-#[derive(Debug, thiserror::Error)]
-#[error("{key} has {} faults, the first: {}", faults.len(), first(faults))]
-pub struct Invalid {
-    /// The key of the value.
-    pub key: Key,
-    /// What is wrong with it.
-    pub faults: Vec<Fault>,
-}
-
-fn first(faults: &[Fault]) -> String {
-    faults.first().map(Fault::to_string).unwrap_or_default()
-}
-
-/// A value in the form that plans are made of.
-#[derive(Clone, Debug)]
-enum Parsed {
-    Register(Arc<Register>),
-    Rules(Arc<Rules>),
-    Part(Arc<workspace::Part>),
-}
-
-/// The values last checked, by key and the hash of the text, so that each is
-/// read once.
-#[derive(Debug, Default)]
-pub struct Cache(BTreeMap<Key, (u64, Parsed)>);
-
-impl Cache {
-    fn get(&self, key: Key, hash: u64) -> Option<Parsed> {
-        let (of, parsed) = self.0.get(&key)?;
-        (*of == hash).then(|| parsed.clone())
-    }
-}
-
 /// Checks a value and returns its revision.
-fn check(state: &State, key: Key, text: &str) -> Result<Revision, Invalid> {
-    let parsed = parse(key, text)?;
-    let revision = match &parsed {
-        Parsed::Register(register) => register.revision,
-        Parsed::Rules(rules) => rules.revision,
-        Parsed::Part(part) => part.revision,
-    };
-    let entry = (version::hash(text), parsed);
-    lock(&state.parsed).0.insert(key, entry);
+fn check(state: &State, key: Key, text: &str) -> Result<Revision, value::Invalid> {
+    let value = Value::parse(key, text)?;
+    let revision = value.revision();
+    lock(&state.parsed).insert(key, version::hash(text), value);
     Ok(revision)
 }
 
-fn parse(key: Key, text: &str) -> Result<Parsed, Invalid> {
-    let parsed = match key {
-        Key::Register => register::parse::register(text)
-            .map(Arc::new)
-            .map(Parsed::Register),
-        Key::Rules => rules::parse::rules(text).map(Arc::new).map(Parsed::Rules),
-        Key::Workspaces(_) => register::parse::workspaces(text)
-            .map(Arc::new)
-            .map(Parsed::Part),
-    };
-    parsed.map_err(|faults| Invalid { key, faults })
-}
-
 /// Offers a value that the platform gave. `None` if the process ends.
 pub async fn offer(state: &Arc<State>, key: Key, text: String) -> Option<Adoption> {
     apart(state, move |state| {
@@ -180,11 +125,12 @@
     let mut parts = Vec::new();
     for (key, hash, text) in values {
         let known = lock(&state.parsed).get(key, hash);
-        match (key, known.or_else(|| parse(key, &text).ok())) {
-            (_, Some(Parsed::Register(read))) => register = Register::clone(&read),
-            (_, Some(Parsed::Rules(read))) => rules = Rules::clone(&read),
-            (Key::Workspaces(number), Some(Parsed::Part(part))) => parts.push((number, part)),
-            _ => {}
+        match (key, known.map_or_else(|| Value::parse(key, &text), Ok)) {
+            (_, Ok(Value::Register(read))) => register = Register::clone(&read),
+            (_, Ok(Value::Rules(read))) => rules = Rules::clone(&read),
+            (Key::Workspaces(number), Ok(Value::Part(part))) => parts.push((number, part)),
+            (Key::Register | Key::Rules, Ok(Value::Part(_))) => {}
+            (_, Err(invalid)) => tracing::error!(%key, %invalid, "config: value kept has faults"),
         }
     }
     let listed = register.workspace_parts;
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,8 +40,8 @@
 use crate::config::budget::Budget;
 use crate::config::gate::Gate;
 use crate::config::store::Store;
+use crate::config::value;
 use crate::config::watch;
-use crate::daemon::adopt;
 use crate::home::connection;
 use crate::home::desk;
 use crate::home::suspect;
@@ -96,7 +96,7 @@
     /// The published values.
     pub store: Mutex<Store>,
     /// The values last checked, ready for use.
-    pub parsed: Mutex<adopt::Cache>,
+    pub parsed: Mutex<value::Cache>,
     /// What the store holds, in a few bytes.
     pub held: Mutex<Held>,
     /// Whether this host may act on the values.
