Read the store anew beside a read that gets no answer

Cause: a full read that began while the store was silent is never answered, and the reader waited three seconds for it. After an outage of five seconds all hosts read the store 2.8 s after its return, and refused requests with keys until then. Ruled out: a shorter limit, as a slow store needs the time. Change: each half second without an answer another read begins beside the first, on a connection of its own; the first answer counts, and its own start is its age. Tests: gateway_reader, whose first fails with one read at a time.

--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tracing::info;
@@ -22,6 +24,8 @@
 use crate::gateway::follow::follow_any;
 use crate::gateway::peers;
 use crate::gateway::source::Fault;
+use crate::gateway::source::Source;
+use crate::gateway::source::Whole;
 use crate::gateway::state::State;
 use crate::gateway::view;
 use crate::lock::lock;
@@ -38,6 +42,10 @@
 /// The longest that a full read of the store may take.
 const LIST_PATIENCE: Duration = Duration::from_millis(3_000);
 
+/// The time after which another full read begins beside one that has no answer: a
+/// store that was silent never answers calls made then, but new ones at once.
+const LIST_AGAIN: Duration = Duration::from_millis(500);
+
 /// The longest that a follower asks to wait.
 const FOLLOW: Duration = Duration::from_millis(1_000);
 
@@ -140,7 +148,7 @@
         let revision = lock(&state.mirror).revision();
         let as_of = boot::Instant::now();
         let result = match revision == 0 || self.is_behind {
-            true => self.list(state, as_of).await,
+            true => list(state).await,
             false => watch(state, revision, as_of).await,
         };
         match result {
@@ -178,16 +186,34 @@
             }
         }
     }
+}
 
-    async fn list(&self, state: &Arc<State>, as_of: boot::Instant) -> Result<(), Fault> {
-        let read = timeout(LIST_PATIENCE, (state.source.list)()).await;
-        let whole = read.unwrap_or(Err(Fault::Silent(LIST_PATIENCE)))?;
-        regained(state);
-        adopt(state, as_of, |mirror| {
-            mirror.replace(whole.items, whole.revision, as_of)
-        });
-        Ok(())
-    }
+async fn list(state: &Arc<State>) -> Result<(), Fault> {
+    let (as_of, whole) = read_all(&state.source).await?;
+    regained(state);
+    adopt(state, as_of, |mirror| {
+        mirror.replace(whole.items, whole.revision, as_of)
+    });
+    Ok(())
+}
+
+/// Reads all items, and returns them with the start of the read that was answered.
+/// Begins the read anew beside one that gets no answer.
+pub async fn read_all(source: &Source) -> Result<(boot::Instant, Whole), Fault> {
+    let mut reads = FuturesUnordered::new();
+    let any_answer = async {
+        loop {
+            let as_of = boot::Instant::now();
+            let read = (source.list)();
+            reads.push(async move { Ok((as_of, read.await?)) });
+            let answer = timeout(LIST_AGAIN, reads.next()).await;
+            if let Ok(Some(answer)) = answer {
+                return answer;
+            }
+        }
+    };
+    let answer = timeout(LIST_PATIENCE, any_answer).await;
+    answer.unwrap_or(Err(Fault::Silent(LIST_PATIENCE)))
 }
 
 async fn watch(state: &Arc<State>, revision: u64, as_of: boot::Instant) -> Result<(), Fault> {
--- /dev/null
+++ b/tests/gateway_reader.rs
@@ -0,0 +1,73 @@
+//! How a gateway reads the store when it gives no answer.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use masticmoor::gateway::reader;
+use masticmoor::gateway::source::Delta;
+use masticmoor::gateway::source::Fault;
+use masticmoor::gateway::source::Source;
+use masticmoor::gateway::source::Whole;
+use tokio::time::Instant;
+
+/// A store that answers full reads begun after a time, each after `takes`; none that
+/// began before. Counts them.
+fn source(silent_for: Duration, takes: Duration, reads: &Arc<AtomicU32>) -> Source {
+    let began = Instant::now();
+    let reads = reads.clone();
+    Source {
+        list: Box::new(move || {
+            let number = reads.fetch_add(1, Ordering::Relaxed);
+            let is_silent = began.elapsed() < silent_for;
+            Box::pin(async move {
+                if is_silent {
+                    std::future::pending::<()>().await;
+                }
+                tokio::time::sleep(takes).await;
+                Ok(Whole {
+                    items: BTreeMap::new(),
+                    revision: u64::from(number),
+                })
+            })
+        }),
+        watch: Box::new(|_, _| Box::pin(async { Ok(Delta::default()) })),
+        decode: Box::new(|_, _| Ok(None)),
+        cached: Box::new(|_| Box::pin(async { Ok(BTreeSet::new()) })),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_was_silent_is_read_soon_after_it_answers_again() {
+    let silent_for = Duration::from_millis(1_200);
+    let reads = Arc::default();
+    let source = source(silent_for, Duration::from_millis(4), &reads);
+    let began = Instant::now();
+    reader::read_all(&source).await.unwrap();
+    let after = began.elapsed() - silent_for;
+    assert!(after < Duration::from_millis(600), "{after:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_store_is_not_given_up_for_the_next_read() {
+    let reads = Arc::default();
+    let takes = Duration::from_millis(1_300);
+    let source = source(Duration::ZERO, takes, &reads);
+    let began = Instant::now();
+    let (_, whole) = reader::read_all(&source).await.unwrap();
+    assert_eq!(whole.revision, 0, "the first read is the one that counts");
+    assert_eq!(began.elapsed(), takes);
+    assert_eq!(reads.load(Ordering::Relaxed), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_store_gets_a_bounded_number_of_reads() {
+    let reads = Arc::default();
+    let source = source(Duration::from_secs(60), Duration::ZERO, &reads);
+    let fault = reader::read_all(&source).await.unwrap_err();
+    assert!(matches!(fault, Fault::Silent(_)));
+    assert!(reads.load(Ordering::Relaxed) <= 7);
+}
