--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -169,9 +169,9 @@
         let health = lock(&self.health);
         let warm = lock(&self.warm);
         let held = warm.depth(now, &job.parts, upstream);
-        let missing = (held..job.parts.len()).rev();
+        let mut missing = (held..job.parts.len()).rev();
         // The one that holds most of the prompt is best.
-        missing.into_iter().find_map(|last| {
+        missing.find_map(|last| {
             let part = job.parts.get(last)?;
             let holders = warm.holders(now, *part).into_iter();
             let others =
