Let one host ask the engines after a restart of all, and the others ask it

Ruled out: each host its zone's engines only, as long prompts lie in any zone. Change: the first of the live hosts by address asks after 200 ms; the others wait for one that knows, and ask themselves after 800 ms. What engines said goes on to hosts that ask, so a host that asked the engines tells others at once.

--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -87,7 +87,7 @@
             Err(error) => respond(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
         },
         (&Method::POST, wire::PATH) => follow(state, request).await,
-        (&Method::POST, warmup::PATH) => holdings(state),
+        (&Method::POST, warmup::PATH) => knowledge_of_prompts(state),
         _ => respond(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
@@ -143,8 +143,8 @@
 }
 
 /// Tells a host that starts which upstreams hold which prompts.
-fn holdings(state: &State) -> Response<Full<Bytes>> {
-    encoded(&lock(&state.warm).holdings(Instant::now()))
+fn knowledge_of_prompts(state: &State) -> Response<Full<Bytes>> {
+    encoded(&lock(&state.warm).knowledge(Instant::now()))
 }
 
 fn encoded<T: Serialize>(reply: &T) -> Response<Full<Bytes>> {
--- a/src/gateway/warm.rs
+++ b/src/gateway/warm.rs
@@ -10,6 +10,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::ident;
@@ -32,9 +34,14 @@
 /// The most placements that wait to be sent to other hosts.
 const UPDATES: usize = 48;
 
-/// A part, and the upstreams that hold it, with the time since each used it in
-/// milliseconds.
-pub type Holding = (u64, Vec<(ident::Upstream, u64)>);
+/// What a host knows, for one that knows nothing. Times are in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// Parts, and the upstreams that hold them with the time since each used it.
+    pub used: Vec<(u64, Vec<(ident::Upstream, u64)>)>,
+    /// Upstreams that said which parts they hold, and how long ago.
+    pub listed: Vec<(ident::Upstream, u64, BTreeSet<u64>)>,
+}
 
 /// Where parts of prompts were sent.
 #[derive(Clone, Debug, Default)]
@@ -129,10 +136,9 @@
         self.listed.insert(upstream.clone(), list);
     }
 
-    /// Returns which upstreams used which parts lately, for a host that knows
-    /// nothing.
-    pub fn holdings(&self, now: Instant) -> Vec<Holding> {
-        let holdings = self.parts.iter().map(|(part, holders)| {
+    /// Returns which upstreams hold which parts, for a host that knows nothing.
+    pub fn knowledge(&self, now: Instant) -> Knowledge {
+        let used = self.parts.iter().map(|(part, holders)| {
             let fresh = holders.iter().filter(|(_, used)| used.is_fresh(now));
             let fresh = fresh.map(|(upstream, used)| {
                 let since = now.duration_since(used.at);
@@ -140,20 +146,33 @@
             });
             (*part, fresh.collect::<Vec<_>>())
         });
-        holdings.filter(|(_, held)| !held.is_empty()).collect()
+        let listed = self.listed.iter().filter(|(_, list)| list.is_fresh(now));
+        let listed = listed.map(|(upstream, list)| {
+            let since = now.duration_since(list.at);
+            (upstream.clone(), millis(since), list.parts.clone())
+        });
+        Knowledge {
+            used: used.filter(|(_, held)| !held.is_empty()).collect(),
+            listed: listed.collect(),
+        }
     }
 
     /// Takes in what another host knows.
-    pub fn adopt(&mut self, now: Instant, holdings: &[Holding]) {
-        for (part, holders) in holdings {
+    pub fn adopt(&mut self, now: Instant, knowledge: Knowledge) {
+        let before = |since_ms| now.checked_sub(Duration::from_millis(since_ms));
+        for (part, holders) in knowledge.used {
             for (upstream, since_ms) in holders {
-                let at = now.checked_sub(Duration::from_millis(*since_ms));
-                if let Some(at) = at {
+                if let Some(at) = before(since_ms) {
                     let used = Use { at, told: Some(at) };
-                    self.keep(now, *part, upstream, used);
+                    self.keep(now, part, &upstream, used);
                 }
             }
         }
+        for (upstream, since_ms, parts) in knowledge.listed {
+            if let Some(at) = before(since_ms) {
+                self.list(at, &upstream, parts);
+            }
+        }
     }
 
     /// Returns the placements of this host since the last call.
@@ -189,7 +208,11 @@
 }
 
 impl List {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.duration_since(self.at) < LISTED_FOR
+    }
+
     fn holds(&self, now: Instant, part: u64) -> bool {
-        now.duration_since(self.at) < LISTED_FOR && self.parts.contains(&part)
+        self.is_fresh(now) && self.parts.contains(&part)
     }
 }
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers the load after restarts: a host that doesn't know where prompts are held
 //! has them read again. It asks a host that knows; where all have just
-//! started, it asks the engines themselves.
+//! started, one of them asks the engines themselves, a probe each.
 
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
@@ -21,20 +21,19 @@
 use crate::gateway::source;
 use crate::gateway::state::State;
 use crate::gateway::upstream::Known;
-use crate::gateway::warm::Holding;
+use crate::gateway::warm::Knowledge;
 use crate::lock::lock;
 use crate::log::millis;
 
 /// The path at which a host tells which upstreams hold which prompts.
 pub const PATH: &str = "/prompts";
 
-/// How long a host looks for others that know: they send messages several times in
-/// that time.
-const PEERS_FOR: Duration = Duration::from_millis(300);
+/// How long the first of the hosts that are live looks for others that know: they
+/// send messages several times in that time.
+const PEERS_FOR: Duration = Duration::from_millis(200);
 
-/// How long a host that learned from no other hears where prompts are used until it
-/// tells others: by then most were used.
-const INFORMED_AFTER: Duration = Duration::from_secs(10);
+/// How long the others look, as the first is asking the engines meanwhile.
+const FIRST_FOR: Duration = Duration::from_millis(800);
 
 /// The most engines that each host asks: where there are more, hosts are many, too,
 /// and as all start together they don't know yet how many.
@@ -51,12 +50,14 @@
     let informed = async {
         if !state.options.gateway.first_start && !learn_from_any(&state).await {
             learn_from_engines(&state).await;
-            tokio::time::sleep(INFORMED_AFTER).await;
         }
     };
     tokio::select! {
         () = state.stop.cancelled() => {}
-        () = informed => state.is_informed.store(true, Ordering::Relaxed),
+        () = informed => {
+            state.is_informed.store(true, Ordering::Relaxed);
+            state.urgent.notify_one();
+        }
     }
 }
 
@@ -67,8 +68,16 @@
     loop {
         let now = Instant::now();
         let zone = &state.options.host.zone;
-        let peer = lock(&state.peers).informed(now, zone, &asked);
-        let is_over = now.duration_since(began) >= PEERS_FOR;
+        let (peer, is_first) = {
+            let peers = lock(&state.peers);
+            let is_first = peers.live(now).all(|(peer, _)| state.address < *peer);
+            (peers.informed(now, zone, &asked), is_first)
+        };
+        let look_for = match is_first {
+            true => PEERS_FOR,
+            false => FIRST_FOR,
+        };
+        let is_over = now.duration_since(began) >= look_for;
         match peer {
             Some(peer) => {
                 asked.insert(peer);
@@ -86,9 +95,11 @@
 async fn learn_from(state: &State, peer: Ipv4Addr) -> bool {
     let address = SocketAddr::from((peer, state.options.host.peer.port()));
     match ask(address).await {
-        Ok(holdings) => {
-            info!(%peer, parts = holdings.len(), "prompts: learned from a host");
-            lock(&state.warm).adopt(Instant::now(), &holdings);
+        Ok(knowledge) => {
+            let parts = knowledge.used.len();
+            let engines = knowledge.listed.len();
+            info!(%peer, parts, engines, "prompts: learned from a host");
+            lock(&state.warm).adopt(Instant::now(), knowledge);
             true
         }
         Err(lost) => {
@@ -99,7 +110,7 @@
 }
 
 /// Asks a host which upstreams hold which prompts.
-pub async fn ask(address: SocketAddr) -> Result<Vec<Holding>, follow::Fault> {
+pub async fn ask(address: SocketAddr) -> Result<Knowledge, follow::Fault> {
     let asked = timeout(PATIENCE, follow::ask(address, PATH, &())).await;
     asked.map_err(|_| follow::Fault::Silent(PATIENCE))?
 }
