--- a/tests/gateway_path/settings.rs
+++ b/tests/gateway_path/settings.rs
@@ -79,7 +79,7 @@
 #[case::bound("retry_ratio = 0.5", &["gateway"], &[])]
 #[case::path("ready_path = \"/other\"", &["gateway"], &["gateway.ready_path"])]
 #[case::seeds("[peer]\nseeds = [\"10.0.0.9:7400\"]", &["gateway", "peer.seeds"], &[])]
-#[case::store("[log]\nlevel = \"warn\"", &["gateway"], &["log"])]
+#[case::log("[log]\nlevel = \"warn\"", &["gateway"], &["log"])]
 #[tokio::test]
 async fn what_waits_for_the_next_start_is_told(
     #[case] instead: &str,
