Wait until the stand-in refuses connections before a purchase is sent

A test of refusals failed once in 14 runs: the outcome was "answered" where "not-run" is expected. The stand-in closes its listener when its accept loop is next polled, so a purchase sent right after set_reachability(Refusing) could still be accepted and run. The router wasn't at fault.

Handle::apply_reachability waits until the server has closed or opened its listener. All assertions of the test stay.

--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -85,6 +85,8 @@
 pub struct Handle {
     plan: Arc<Mutex<Plan>>,
     reachability: Arc<watch::Sender<Reachability>>,
+    /// The reachability that the server has applied to its listener.
+    applied: Arc<watch::Sender<Reachability>>,
     sockets: Arc<socket::Set>,
 }
 
@@ -99,6 +101,15 @@
         self.reachability.send_replace(reachability);
     }
 
+    /// Sets whether the stand-in accepts connections, and waits until its server has
+    /// opened or closed the listener accordingly.
+    pub async fn apply_reachability(&self, reachability: Reachability) {
+        let mut applied = self.applied.subscribe();
+        self.set_reachability(reachability);
+        // The handle keeps the sender, so the wait can't fail.
+        let _applied = applied.wait_for(|applied| *applied == reachability).await;
+    }
+
     /// Silences the connections that are open now, permanently.
     pub fn silence(&self, silence: socket::Silence) {
         self.sockets.silence(silence);
@@ -145,6 +156,10 @@
         self.reachability.subscribe()
     }
 
+    pub(crate) fn record_applied(&self, reachability: Reachability) {
+        self.applied.send_replace(reachability);
+    }
+
     pub(crate) fn sockets(&self) -> &socket::Set {
         &self.sockets
     }
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -69,18 +69,21 @@
         let current = *reachability.borrow_and_update();
         match (current, listener.take()) {
             (Reachability::Up, Some(bound)) => {
+                shared.fault.record_applied(current);
                 accept(&bound, &shared, &handler, &connections, &mut reachability).await;
                 listener = Some(bound);
             }
             (Reachability::Up, None) => listener = bind(address).await,
             (Reachability::Refusing, closed) => {
                 drop(closed);
+                shared.fault.record_applied(current);
                 wait_for_change(&mut reachability, &token).await;
             }
             (Reachability::Down, closed) => {
                 drop(closed);
                 connections.cancel();
                 connections = token.child_token();
+                shared.fault.record_applied(current);
                 wait_for_change(&mut reachability, &token).await;
             }
         }
--- a/standin/tests/fleet_notrun.rs
+++ b/standin/tests/fleet_notrun.rs
@@ -16,6 +16,7 @@
 use standin::fleet::shape::Kind;
 use standin::fleet::shape::Shape;
 use standin::fleet::until;
+use tokio::time::timeout;
 
 /// The time limit for the refusal of a request.
 const REFUSAL_LIMIT: Duration = Duration::from_secs(2);
@@ -39,7 +40,10 @@
         .unwrap();
     for plain in fleet.plains.values() {
         match reset {
-            None => plain.fault.set_reachability(Reachability::Refusing),
+            None => {
+                let refusing = plain.fault.apply_reachability(Reachability::Refusing);
+                timeout(STATE_LIMIT, refusing).await.unwrap();
+            }
             Some(_) => plain.fault.set_plan(Plan {
                 reset,
                 ..Plan::default()
