Wait for the test fleet's listener to close before checking a process

The test of invalid settings failed once in 6 runs of the whole check: the address took a connection at its last assertion. Dropping a test fleet stops its hosts in the background, so the fleet's own listener outlives it.

The test now binds the host's addresses and releases them before it starts the process, as Process::start does. A connection accepted later can only be the process's, and the last assertion stays.

--- a/standin/tests/fleet_process.rs
+++ b/standin/tests/fleet_process.rs
@@ -9,6 +9,7 @@
 use standin::answer;
 use standin::fleet::Fleet;
 use standin::fleet::client;
+use standin::fleet::host;
 use standin::fleet::process::Process;
 use standin::fleet::shape::Kind;
 use standin::fleet::shape::Shape;
@@ -107,8 +108,10 @@
 async fn invalid_settings_end_the_process_before_it_listens() {
     let fleet = Fleet::start(Shape::zones(1, 1, 0, 1)).await.unwrap();
     let text = fleet.shape.settings("z1-h1").unwrap();
-    let at = fleet.caller("z1-h1").unwrap();
+    let addresses = fleet.shape.hosts["z1-h1"].addresses;
     drop(fleet);
+    // The fleet's own listener closes in the background.
+    drop(host::bind_at(addresses).await.unwrap());
     let invalid = text.replace("beat_ms = 100", "beat_ms = 100\nunknown_key = 1");
     let mut process = Process::serve("invalid", &invalid).unwrap();
     let mut status = None;
@@ -124,7 +127,7 @@
         log.contains("unknown_key") && !log.contains("listening"),
         "{log}"
     );
-    assert!(std::net::TcpStream::connect(at).is_err());
+    assert!(std::net::TcpStream::connect(addresses.caller).is_err());
 }
 
 #[tokio::test(flavor = "multi_thread")]
