Log the framing of responses and the bytes after a stream's last event

`request: streamed`, `request: answered` and `request: lost` now name the framing of the upstream's response (length, chunked, close), and `request: streamed` counts the bytes that followed the last complete event. Nothing else changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout_at;
 use tracing::info;
 
+use crate::framing::Framing;
 use crate::gateway::accept;
 use crate::gateway::accept::RETRY_AFTER_NO_UPSTREAM;
 use crate::gateway::accept::RETRY_AFTER_OTHER_HOST;
@@ -66,6 +67,8 @@
     unsent: u32,
     /// Number of attempts that an upstream rejected without running the request.
     rejected: u32,
+    /// Framing of the last response that began.
+    pub framing: Option<Framing>,
 }
 
 /// A request sent to an upstream whose response has begun.
@@ -201,7 +204,8 @@
     code: Code,
 ) -> Result<(), Refusal> {
     let now = Instant::now();
-    info!(id = job.id, %upstream, %code, sends = history.sends, "request: lost");
+    let framing = history.framing.map(tracing::field::display);
+    info!(id = job.id, %upstream, %code, framing, sends = history.sends, "request: lost");
     state.meter.lost(code);
     record_observation(state, upstream, Observation::Lost);
     if matches!(code, Code::UpstreamLost | Code::AnswerCut) {
@@ -327,6 +331,7 @@
     let request = job.request(names, sent, &upstream.id, holder, last_event);
     history.sends += 1;
     history.runs += 1;
+    history.framing = None;
     let limit = move_at(job, history, sent);
     let result = {
         let mut sending = std::pin::pin!(connection.send(request));
@@ -355,6 +360,7 @@
         Err(_) => return Err(Loss::Unknown(Code::FirstByteTimeout)),
     };
     let (parts, body) = response.into_parts();
+    history.framing = Some(Framing::of(&parts.headers, &body));
     let echoed = header_text(&parts.headers, &names.attempt);
     let not_executed = parts.headers.contains_key(&names.not_executed)
         || parts.status == http::StatusCode::MISDIRECTED_REQUEST;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -139,7 +139,8 @@
 ) -> Response<Payload> {
     let elapsed = job.arrived.elapsed();
     state.meter.answered(job.route.kind, elapsed);
-    info!(target: ROUTINE, id = job.id, kind = %job.route.kind, status = parts.status.as_u16(),
+    let framing = history.framing.map(tracing::field::display);
+    info!(target: ROUTINE, id = job.id, kind = %job.route.kind, status = parts.status.as_u16(), framing,
         sends = history.sends, after_ms = millis(elapsed), "request: answered");
     let body = Full::from(body).map_err(|never| match never {});
     response_with_body(&parts, Payload::new(body))
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -233,12 +233,13 @@
             self.first_event_after,
             self.longest_gap,
         );
+        let rest = self.splitter.rest();
+        let framing = self.history.framing.map(tracing::field::display);
         info!(target: ROUTINE, id = self.job.id, kind = %self.job.route.kind, upstream = %id,
-            events = self.events, sends = self.history.sends,
+            framing, rest_bytes = rest.len(), events = self.events, sends = self.history.sends,
             first_ms = millis(self.first_event_after),
             pause_ms = millis(self.longest_gap),
             after_ms = millis(self.job.arrived.elapsed()), "request: streamed");
-        let rest = self.splitter.rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`config`]: the published values that are applied, and their distribution
 //! - [`daemon`]: the tasks of a host
 //! - [`entry`]: the stage that receives requests from callers
+//! - [`framing`]: how the end of a response body is marked
 //! - [`gateway`]: the stage that routes requests by a published route table
 //! - [`home`]: the stage that dispatches requests to an upstream
 //! - [`ident`]: names of hosts, zones, workspaces, upstreams, models and services
@@ -35,6 +36,7 @@
 pub mod config;
 pub mod daemon;
 pub mod entry;
+pub mod framing;
 pub mod gateway;
 pub mod home;
 pub mod ident;
