Reproduce streams that end inside an event and look complete

These tests break a stream off inside an event, with no framing, in chunks and with a length, and at each byte with FIN and with a reset. Today the host forwards the incomplete event and ends the caller's response as complete; a resumable stream isn't resumed.

--- a/tests/gateway_path/caller.rs
+++ b/tests/gateway_path/caller.rs
@@ -34,6 +34,11 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name).map(String::as_str)
     }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
 }
 
 fn request(attempt: &str, headers: &[(&str, &str)]) -> String {
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod host;
 mod settings;
+mod truncation;
 mod upstream;
 
 use std::time::Duration;
--- /dev/null
+++ b/tests/gateway_path/truncation.rs
@@ -0,0 +1,233 @@
+//! Responses that upstreams break off, with each framing and at each byte.
+
+use futures_util::StreamExt;
+use futures_util::stream;
+use masticmoor::gateway::table::Kind;
+use masticmoor::outcome::Outcome;
+use rstest::rstest;
+
+use crate::caller;
+use crate::caller::Reply;
+use crate::host::Host;
+use crate::outcome;
+use crate::runs;
+use crate::send_one;
+use crate::upstream;
+use crate::upstream::End;
+use crate::upstream::Step;
+use crate::upstream::Upstream;
+
+/// Number of requests that are sent at the same time.
+const CONCURRENCY: usize = 8;
+
+/// Two events and a part of a third, without a length or chunks.
+const UNFRAMED: &str =
+    "connection: close\r\n\r\nid: 0\ndata: event 0\n\nid: 1\ndata: event 1\n\nid: 2\nda";
+
+/// The same in a chunk, followed by the empty chunk that ends the body.
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n\
+    32\r\nid: 0\ndata: event 0\n\nid: 1\ndata: event 1\n\nid: 2\nda\r\n0\r\n\r\n";
+
+/// The same with its length.
+const WITH_LENGTH: &str = "content-length: 50\r\n\r\n\
+    id: 0\ndata: event 0\n\nid: 1\ndata: event 1\n\nid: 2\nda";
+
+#[rstest]
+#[case::unframed(UNFRAMED)]
+#[case::chunked(CHUNKED)]
+#[case::with_length(WITH_LENGTH)]
+#[tokio::test]
+async fn a_stream_whose_body_ends_inside_an_event_does_not_look_complete(
+    #[case] text: &'static str,
+) {
+    let end = End::Close;
+    let one = Upstream::start("u1", move |_| Step::Raw { text, end }).await;
+    let (_host, reply) = send_one(Kind::Stream, &[&one]).await;
+    assert!(!reply.is_complete, "{}", reply.text());
+    assert_eq!(reply.body, upstream::events(0, 2), "{}", reply.text());
+}
+
+#[rstest]
+#[case::unframed(UNFRAMED)]
+#[case::chunked(CHUNKED)]
+#[case::with_length(WITH_LENGTH)]
+#[tokio::test]
+async fn a_resumable_stream_whose_body_ends_inside_an_event_continues_elsewhere(
+    #[case] text: &'static str,
+) {
+    let end = End::Close;
+    let one = Upstream::start("u1", move |_| Step::Raw { text, end }).await;
+    let two = Upstream::start("u2", move |_| Step::Raw { text, end }).await;
+    let host = Host::start(Kind::ResumableStream, &[&one, &two]).await;
+    for upstream in [&one, &two] {
+        upstream.set_resumed_to(4);
+    }
+    let reply = caller::send(host.caller, "a1", &[]).await;
+    assert!(reply.is_complete, "{}", reply.text());
+    assert_eq!(reply.body, upstream::events(0, 4), "{}", reply.text());
+    assert_eq!(runs(&[&one, &two]), 2);
+}
+
+/// What marks the end of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// The end of the connection.
+    Close,
+    /// The length of the whole body.
+    Length,
+    /// One chunk of the length of the whole body.
+    Chunked,
+    /// One chunk of what is sent, and the empty chunk that ends a body.
+    ChunkedToEnd,
+}
+
+/// A response of which the upstream sends only the first bytes of the body.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    framing: Framing,
+    content_type: &'static str,
+    body: &'static str,
+    sent: usize,
+    end: End,
+}
+
+impl Cut {
+    /// Returns all cuts of a body.
+    fn all(content_type: &'static str, body: &'static str) -> Vec<Self> {
+        let framings = [
+            Framing::Close,
+            Framing::Length,
+            Framing::Chunked,
+            Framing::ChunkedToEnd,
+        ];
+        let mut cuts = Vec::new();
+        for framing in framings {
+            for end in [End::Close, End::Reset] {
+                cuts.extend((0..=body.len()).map(|sent| Self {
+                    framing,
+                    content_type,
+                    body,
+                    sent,
+                    end,
+                }));
+            }
+        }
+        cuts
+    }
+
+    fn prefix(&self) -> &'static str {
+        &self.body[..self.sent]
+    }
+
+    /// Returns the reaction of an upstream that sends these bytes.
+    fn step(&self) -> Step {
+        let (length, prefix) = (self.body.len(), self.prefix());
+        let sent = prefix.len();
+        let framed = match self.framing {
+            Framing::Close => format!("connection: close\r\n\r\n{prefix}"),
+            Framing::Length => format!("content-length: {length}\r\n\r\n{prefix}"),
+            Framing::Chunked => {
+                format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{prefix}")
+            }
+            Framing::ChunkedToEnd if sent == 0 => {
+                "transfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_owned()
+            }
+            Framing::ChunkedToEnd => {
+                format!("transfer-encoding: chunked\r\n\r\n{sent:x}\r\n{prefix}\r\n0\r\n\r\n")
+            }
+        };
+        let text = format!("content-type: {}\r\n{framed}", self.content_type);
+        Step::Raw {
+            text: text.leak(),
+            end: self.end,
+        }
+    }
+
+    /// Returns whether the framing says that the body is complete, as far as it can.
+    fn is_framed_whole(&self) -> bool {
+        match self.framing {
+            Framing::Close => self.end == End::Close,
+            Framing::Length => self.sent == self.body.len(),
+            Framing::Chunked => false,
+            Framing::ChunkedToEnd => true,
+        }
+    }
+
+    /// Returns the reply to a request whose response is cut like this.
+    async fn play(self, kind: Kind) -> (Self, Reply) {
+        let step = self.step();
+        let one = Upstream::start("u1", move |_| step).await;
+        let (_host, reply) = send_one(kind, &[&one]).await;
+        (self, reply)
+    }
+
+    /// Plays all cuts of a body and passes each reply to `check`.
+    async fn play_all(
+        kind: Kind,
+        content_type: &'static str,
+        body: &'static str,
+        check: impl Fn(&Self, &Reply),
+    ) {
+        let cuts = Self::all(content_type, body);
+        let count = cuts.len();
+        let replies = stream::iter(cuts).map(|cut| cut.play(kind));
+        let replies: Vec<_> = replies.buffer_unordered(CONCURRENCY).collect().await;
+        assert_eq!(replies.len(), count);
+        for (cut, reply) in &replies {
+            check(cut, reply);
+        }
+    }
+}
+
+fn assert_whole(cut: &Cut, reply: &Reply) {
+    assert_eq!(reply.status, 200, "{cut:?}: {}", reply.text());
+    assert!(reply.is_complete, "{cut:?}: {}", reply.text());
+    assert_eq!(reply.text(), cut.prefix(), "{cut:?}");
+}
+
+fn assert_unknown(cut: &Cut, reply: &Reply) {
+    assert_eq!(reply.status, 502, "{cut:?}: {}", reply.text());
+    assert_eq!(outcome(reply), Outcome::Unknown, "{cut:?}");
+}
+
+/// Two events of a stream, of which the first has [`FIRST_EVENT_BYTES`].
+const EVENTS: &str = "id: 0\ndata: none\n\nid: 1\ndata: seat\n\n";
+
+const FIRST_EVENT_BYTES: usize = 18;
+
+#[tokio::test]
+async fn a_stream_cut_at_any_byte_looks_complete_only_between_events() {
+    Cut::play_all(Kind::Stream, "text/event-stream", EVENTS, |cut, reply| {
+        let is_between_events = [0, FIRST_EVENT_BYTES, EVENTS.len()].contains(&cut.sent);
+        let is_empty = cut.sent == 0;
+        let ends_with_connection = cut.framing == Framing::Close;
+        let is_whole = cut.is_framed_whole()
+            && is_between_events
+            // A stream that closes before its first event was cut: nothing says that it ended.
+            && !(is_empty && ends_with_connection);
+        match cut.sent / FIRST_EVENT_BYTES {
+            _ if is_whole => assert_whole(cut, reply),
+            0 => assert_unknown(cut, reply),
+            _ => {
+                assert!(!reply.is_complete, "{cut:?}: {}", reply.text());
+                let sent = &EVENTS[..cut.sent / FIRST_EVENT_BYTES * FIRST_EVENT_BYTES];
+                assert_eq!(reply.text(), sent, "{cut:?}");
+            }
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_response_cut_at_any_byte_is_returned_only_if_its_framing_allows() {
+    Cut::play_all(
+        Kind::NonIdempotent,
+        "text/plain",
+        "seat 7",
+        |cut, reply| match cut.is_framed_whole() {
+            true => assert_whole(cut, reply),
+            false => assert_unknown(cut, reply),
+        },
+    )
+    .await;
+}
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -50,6 +50,14 @@
         /// Whether the connection closes in the middle of one more event.
         truncated: bool,
     },
+    /// Sends some bytes after the status line and the identifying headers, then ends the
+    /// connection.
+    Raw {
+        /// The rest of the response, from the headers that frame it on.
+        text: &'static str,
+        /// How the connection ends.
+        end: End,
+    },
     /// Sends a stream of events with a long gap.
     Stall {
         /// Number of the event that is sent late.
@@ -59,6 +67,15 @@
     },
 }
 
+/// How an upstream ends a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Closes it in order, as the system does when a process ends.
+    Close,
+    /// Resets it.
+    Reset,
+}
+
 /// A received request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -240,6 +257,15 @@
                 chunk(&mut stream, b"").await;
                 continue;
             }
+            Step::Raw { text, end } => {
+                let text = format!("HTTP/1.1 200 X\r\n{echo}{text}");
+                let _sent = stream.write_all(text.as_bytes()).await;
+                if end == End::Reset {
+                    let socket = SockRef::from(&stream);
+                    socket.set_linger(Some(Duration::ZERO)).unwrap();
+                }
+                return;
+            }
             Step::Stall { at, to } => {
                 let head = format!("HTTP/1.1 200 X\r\n{echo}transfer-encoding: chunked\r\n\r\n");
                 let _sent = stream.write_all(head.as_bytes()).await;
