Don't pass a stream on as complete if its body ends inside an event

Cause: the host took each normal end of the upstream's body for the end of the stream. Where a response has neither a length nor chunks, its end is the end of the connection, and an upstream that fails closes that in order. The bytes after the last complete event were forwarded, then the caller's chunked response was ended properly.

Now a stream is whole only if its body ends outside an event, and if a body that ends with its connection held an event at all. Otherwise the loss is handled like a reset: resumed at another upstream, or the caller's response breaks off. Lines may end with CR LF, which the splitter took for the inside of an event until the end.

A test of placements let an upstream answer a stream with a body that is no stream; it sends two events now and checks as much. A cut between two events of an unframed response can't be told from its end.

--- a/src/framing.rs
+++ b/src/framing.rs
@@ -1,4 +1,4 @@
-//! How the end of an HTTP/1 response body is marked.
+//! How the end of an HTTP/1 response body is marked, and what its content says of it.
 
 use http::HeaderMap;
 use http::header;
@@ -29,3 +29,24 @@
         }
     }
 }
+
+/// Kind of content of a body, by its media type.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// Server-sent events.
+    Events,
+    /// Content whose end can't be told from its bytes.
+    Opaque,
+}
+
+impl Content {
+    /// Returns the kind of content that the headers of a response name, if they do.
+    pub fn of(headers: &HeaderMap) -> Option<Self> {
+        let value = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+        let media_type = value.split(';').next()?.trim().to_ascii_lowercase();
+        Some(match media_type.as_str() {
+            "text/event-stream" => Self::Events,
+            _ => Self::Opaque,
+        })
+    }
+}
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -3,8 +3,15 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Blank line that ends an event.
-const DELIMITER: &[u8] = b"\n\n";
+/// Ends of a line followed by the blank line that ends an event. Lines end with LF or
+/// CR LF.
+const DELIMITERS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+
+/// Length of the longest delimiter.
+const MAX_DELIMITER_BYTES: usize = 3;
+
+/// First byte of a comment line.
+const COMMENT: u8 = b':';
 
 /// Prefix of the field that numbers an event.
 const ID_FIELD: &[u8] = b"id:";
@@ -34,21 +41,31 @@
 
     /// Removes and returns the next complete event.
     pub fn take(&mut self) -> Option<Event> {
-        let from = self.searched.saturating_sub(DELIMITER.len() - 1);
-        let unsearched = self.buffer.get(from..)?;
-        let found = unsearched
-            .windows(DELIMITER.len())
-            .position(|it| it == DELIMITER);
-        let Some(at) = found else {
+        let from = self.searched.saturating_sub(MAX_DELIMITER_BYTES - 1);
+        let Some(end) = (from..self.buffer.len()).find_map(|at| self.delimiter_end(at)) else {
             self.searched = self.buffer.len();
             return None;
         };
-        let bytes = self.buffer.split_to(from + at + DELIMITER.len()).freeze();
+        let bytes = self.buffer.split_to(end).freeze();
         self.searched = 0;
         let id = event_id(&bytes);
         Some(Event { bytes, id })
     }
 
+    /// Returns whether the bytes after the last complete event begin another one. Blank
+    /// lines and comments don't.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.buffer.as_ref().split(|byte| *byte == b'\n');
+        lines.any(|line| !matches!(line, [] | [b'\r'] | [COMMENT, ..]))
+    }
+
+    /// Returns the offset after a delimiter that starts at `at`.
+    fn delimiter_end(&self, at: usize) -> Option<usize> {
+        let rest = self.buffer.get(at..)?;
+        let found = DELIMITERS.iter().find(|it| rest.starts_with(it));
+        found.map(|delimiter| at + delimiter.len())
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,6 +19,8 @@
 use tokio::time::timeout_at;
 use tracing::info;
 
+use crate::framing::Content;
+use crate::framing::Framing;
 use crate::gateway::attempt;
 use crate::gateway::attempt::Exchange;
 use crate::gateway::attempt::History;
@@ -66,6 +68,8 @@
     is_resumed: bool,
     /// Number of events forwarded.
     events: u64,
+    /// Whether the current upstream has sent a complete event.
+    has_event: bool,
     /// Factor of the time limit for the next event, raised by one each time the limit
     /// passes without another upstream to move to.
     limit_factor: u32,
@@ -122,6 +126,7 @@
         splitter: Splitter::default(),
         is_resumed: false,
         events: 0,
+        has_event: false,
         limit_factor: 1,
         is_over: false,
         first_event_after: Duration::ZERO,
@@ -135,6 +140,10 @@
     };
     let rest = stream::unfold(events, |mut events| async move {
         let next = events.next().await?;
+        if next.is_err() {
+            // The error makes the server drop what it hasn't written: let it write first.
+            tokio::task::yield_now().await;
+        }
         Some((next, events))
     });
     let chunks = stream::once(async move { Ok(first) }).chain(rest);
@@ -168,7 +177,8 @@
                         Err(code) => code,
                     }
                 }
-                Ok(None) => return self.end(),
+                Ok(None) if self.is_whole() => return self.end(),
+                Ok(None) => Code::AnswerCut,
                 Ok(Some(Err(_))) => Code::AnswerCut,
                 Err(_) if Instant::now() >= self.job.deadline => {
                     return Some(Err(self.fail(Code::StreamTimeout)));
@@ -194,6 +204,7 @@
     fn take_events(&mut self) -> Result<Bytes, Code> {
         let mut events = BytesMut::new();
         while let Some(event) = self.splitter.take() {
+            self.has_event = true;
             match (event.id, self.last_event) {
                 (Some(id), Some(last)) if id <= last && self.is_resumed => continue,
                 (Some(id), Some(last)) if id != last + 1 => return Err(Code::ForeignAnswer),
@@ -218,6 +229,30 @@
         Ok(events.freeze())
     }
 
+    /// Returns whether a stream whose body has ended is complete. An upstream that fails
+    /// may end the body in order, but inside an event or before the first one.
+    fn is_whole(&self) -> bool {
+        let exchange = self.exchange.as_ref();
+        let content = exchange.and_then(|exchange| Content::of(&exchange.parts.headers));
+        let is_inside_event = self.splitter.is_inside_event();
+        let may_be_empty = self.history.framing != Some(Framing::Close);
+        let is_whole = match content {
+            Some(Content::Opaque) => true,
+            Some(Content::Events) | None => !is_inside_event && (self.has_event || may_be_empty),
+        };
+        if !is_whole {
+            let framing = self.history.framing.map(tracing::field::display);
+            info!(
+                id = self.job.id,
+                framing,
+                events = self.events,
+                is_inside_event,
+                "request: body ended before the stream"
+            );
+        }
+        is_whole
+    }
+
     /// Records the end of a stream that the upstream completed, and returns the bytes
     /// after its last event.
     fn end(&mut self) -> Option<Result<Bytes, Truncated>> {
@@ -233,13 +268,13 @@
             self.first_event_after,
             self.longest_gap,
         );
-        let rest = self.splitter.rest();
         let framing = self.history.framing.map(tracing::field::display);
         info!(target: ROUTINE, id = self.job.id, kind = %self.job.route.kind, upstream = %id,
-            framing, rest_bytes = rest.len(), events = self.events, sends = self.history.sends,
+            framing, events = self.events, sends = self.history.sends,
             first_ms = millis(self.first_event_after),
             pause_ms = millis(self.longest_gap),
             after_ms = millis(self.job.arrived.elapsed()), "request: streamed");
+        let rest = self.splitter.rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -292,6 +327,7 @@
     ) -> Result<(), Truncated> {
         // Drops the bytes of an incomplete event of the previous upstream.
         self.splitter = Splitter::default();
+        self.has_event = false;
         self.is_resumed = true;
         self.limit_factor = 1;
         let (state, job) = (self.state.clone(), self.job.clone());
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -322,7 +322,12 @@
 
 #[tokio::test]
 async fn a_host_serves_its_prompt_placements_to_other_hosts() {
-    let one = Upstream::start("u1", |_| Step::Respond(200, "plan")).await;
+    let streams = |_| Step::Stream {
+        from: 0,
+        to: 2,
+        truncated: false,
+    };
+    let one = Upstream::start("u1", streams).await;
     let host = Host::start(Kind::ResumableStream, &[&one]).await;
     let segments = [("x-parts", "1,2,3")];
     let reply = caller::send(host.caller, "a1", &segments).await;
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -429,3 +429,30 @@
         prop_assert_eq!(&splitter.rest()[..], b"id: 1");
     }
 }
+
+#[rstest]
+#[case::lf("\n")]
+#[case::cr_lf("\r\n")]
+fn a_stream_is_inside_an_event_at_each_byte_but_after_blank_lines_and_in_comments(
+    #[case] line_end: &str,
+) {
+    let lines = |lines: &[&str]| {
+        lines
+            .iter()
+            .map(|line| format!("{line}{line_end}"))
+            .collect()
+    };
+    let first: String = lines(&["id: 1", "data: x", ""]);
+    let comment: String = lines(&[": ping", ""]);
+    let second: String = lines(&["data: y", ""]);
+    let text = format!("{first}{comment}{second}");
+    let outside = first.len()..=first.len() + comment.len();
+    for cut in 0..=text.len() {
+        let mut splitter = Splitter::default();
+        let (sent, _) = text.split_at(cut);
+        splitter.push(sent.as_bytes());
+        while splitter.take().is_some() {}
+        let is_outside = cut == 0 || outside.contains(&cut) || cut == text.len();
+        assert_eq!(splitter.is_inside_event(), !is_outside, "{:?}", sent);
+    }
+}
