Move the splitter of event streams out of the gateway

The completeness of a body is about to be decided in one place for the gateway and the home, which both read event streams. No change of behaviour. The path of the public module changes from gateway::event to event.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,7 +13,6 @@
 pub mod cold_start;
 pub mod connection;
 pub mod datagram;
-pub mod event;
 pub mod follow;
 pub mod forward;
 pub mod gossip;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,12 +19,12 @@
 use tokio::time::timeout_at;
 use tracing::info;
 
+use crate::event::Splitter;
 use crate::framing::Content;
 use crate::framing::Framing;
 use crate::gateway::attempt;
 use crate::gateway::attempt::Exchange;
 use crate::gateway::attempt::History;
-use crate::gateway::event::Splitter;
 use crate::gateway::forward;
 use crate::gateway::health::Observation;
 use crate::gateway::job::Job;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`config`]: the published values that are applied, and their distribution
 //! - [`daemon`]: the tasks of a host
 //! - [`entry`]: the stage that receives requests from callers
+//! - [`event`]: splits a stream of server-sent events
 //! - [`framing`]: how the end of a response body is marked
 //! - [`gateway`]: the stage that routes requests by a published route table
 //! - [`home`]: the stage that dispatches requests to an upstream
@@ -36,6 +37,7 @@
 pub mod config;
 pub mod daemon;
 pub mod entry;
+pub mod event;
 pub mod framing;
 pub mod gateway;
 pub mod home;
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use masticmoor::boot;
-use masticmoor::gateway::event::Splitter;
+use masticmoor::event::Splitter;
 use masticmoor::gateway::health;
 use masticmoor::gateway::health::Observation;
 use masticmoor::gateway::health::Status;
