Don't return a response that ends with its connection inside its content

Where the content tells its end, it is asked now: a JSON text has to be complete if the body ends with its connection, and server-sent events have to end between two events in any framing. A cut response counts as lost: repeated if that is allowed, else refused with outcome "unknown". Plain text and bytes tell nothing; they are complete unless the connection is reset, as the HTTP standard and the platform's pages have it. Malformed JSON that isn't cut is passed on.

--- a/src/framing.rs
+++ b/src/framing.rs
@@ -3,6 +3,9 @@
 use http::HeaderMap;
 use http::header;
 use hyper::body::Body;
+use serde::de::IgnoredAny;
+
+use crate::event::Splitter;
 
 /// What marks the end of a response body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -35,6 +38,8 @@
 pub enum Content {
     /// Server-sent events.
     Events,
+    /// A JSON text.
+    Json,
     /// Content whose end can't be told from its bytes.
     Opaque,
 }
@@ -46,7 +51,39 @@
         let media_type = value.split(';').next()?.trim().to_ascii_lowercase();
         Some(match media_type.as_str() {
             "text/event-stream" => Self::Events,
+            "application/json" => Self::Json,
+            other if other.ends_with("+json") => Self::Json,
             _ => Self::Opaque,
         })
     }
 }
+
+/// Returns whether a body that ended without an error is complete, as far as its framing
+/// and its content tell.
+///
+/// A body that ends with its connection may have been cut by a failing upstream. An event
+/// stream may end early even if it is framed, as an upstream may frame what it has.
+pub fn is_complete(framing: Framing, headers: &HeaderMap, body: &[u8]) -> bool {
+    match (Content::of(headers), framing) {
+        (Some(Content::Events), _) => {
+            let mut splitter = Splitter::default();
+            splitter.push(body);
+            let events = std::iter::from_fn(|| splitter.take()).count();
+            ends_between_events(framing, events > 0, &splitter)
+        }
+        // A text that is malformed, not cut, is the upstream's own.
+        (Some(Content::Json), Framing::Close) => {
+            let parsed = serde_json::from_slice::<IgnoredAny>(body);
+            !parsed.is_err_and(|error| error.is_eof())
+        }
+        (Some(Content::Json | Content::Opaque) | None, _) => true,
+    }
+}
+
+/// Returns whether an event stream whose body has ended without an error is complete.
+/// `has_event` tells whether it held a complete event, and `splitter` holds the bytes after
+/// the last one.
+pub fn ends_between_events(framing: Framing, has_event: bool, splitter: &Splitter) -> bool {
+    let may_be_empty = framing != Framing::Close;
+    !splitter.is_inside_event() && (has_event || may_be_empty)
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -77,6 +77,8 @@
     pub parts: Parts,
     /// Body of the response, yet to be read.
     pub body: Incoming,
+    /// What marks the end of the body.
+    pub framing: Framing,
     /// Connection on which the body arrives.
     pub connection: Connection,
     /// Counts the request at the upstream.
@@ -360,7 +362,8 @@
         Err(_) => return Err(Loss::Unknown(Code::FirstByteTimeout)),
     };
     let (parts, body) = response.into_parts();
-    history.framing = Some(Framing::of(&parts.headers, &body));
+    let framing = Framing::of(&parts.headers, &body);
+    history.framing = Some(framing);
     let echoed = header_text(&parts.headers, &names.attempt);
     let not_executed = parts.headers.contains_key(&names.not_executed)
         || parts.status == http::StatusCode::MISDIRECTED_REQUEST;
@@ -379,6 +382,7 @@
     Ok(Exchange {
         parts,
         body,
+        framing,
         connection,
         lease,
         sent,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout_at;
 use tracing::info;
 
+use crate::framing;
 use crate::gateway::accept::accept;
 use crate::gateway::accept::header_text;
 use crate::gateway::attempt::Exchange;
@@ -167,8 +168,8 @@
 /// Reads a response to the end, records its result and returns the connection to the
 /// pool.
 ///
-/// Fails with the code of the loss if the response is too large, ends early, or isn't
-/// complete by the deadline.
+/// Fails with the code of the loss if the response is too large, ends early by its framing
+/// or its content, or isn't complete by the deadline.
 pub async fn collect(
     state: &Arc<State>,
     job: &Job,
@@ -177,6 +178,7 @@
     let Exchange {
         parts,
         body,
+        framing,
         connection,
         lease,
         sent: _,
@@ -188,6 +190,10 @@
         Ok(Err(_)) => return Err(Code::AnswerCut),
         Err(_) => return Err(Code::StreamTimeout),
     };
+    if !framing::is_complete(framing, &parts.headers, &body) {
+        info!(id = job.id, %framing, bytes = body.len(), "request: body ended before its content");
+        return Err(Code::AnswerCut);
+    }
     let now = Instant::now();
     state.pool.release(now, connection);
     let id = &lease.record.upstream.id;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -20,8 +20,8 @@
 use tracing::info;
 
 use crate::event::Splitter;
+use crate::framing;
 use crate::framing::Content;
-use crate::framing::Framing;
 use crate::gateway::attempt;
 use crate::gateway::attempt::Exchange;
 use crate::gateway::attempt::History;
@@ -232,23 +232,20 @@
     /// Returns whether a stream whose body has ended is complete. An upstream that fails
     /// may end the body in order, but inside an event or before the first one.
     fn is_whole(&self) -> bool {
-        let exchange = self.exchange.as_ref();
-        let content = exchange.and_then(|exchange| Content::of(&exchange.parts.headers));
-        let is_inside_event = self.splitter.is_inside_event();
-        let may_be_empty = self.history.framing != Some(Framing::Close);
-        let is_whole = match content {
-            Some(Content::Opaque) => true,
-            Some(Content::Events) | None => !is_inside_event && (self.has_event || may_be_empty),
+        let Some(exchange) = &self.exchange else {
+            return false;
+        };
+        let framing = exchange.framing;
+        let is_whole = match Content::of(&exchange.parts.headers) {
+            Some(Content::Events) | None => {
+                framing::ends_between_events(framing, self.has_event, &self.splitter)
+            }
+            Some(Content::Json | Content::Opaque) => true,
         };
         if !is_whole {
-            let framing = self.history.framing.map(tracing::field::display);
-            info!(
-                id = self.job.id,
-                framing,
-                events = self.events,
-                is_inside_event,
-                "request: body ended before the stream"
-            );
+            let is_inside_event = self.splitter.is_inside_event();
+            info!(id = self.job.id, %framing, events = self.events, is_inside_event,
+                "request: body ended before the stream");
         }
         is_whole
     }
--- a/tests/gateway_path/truncation.rs
+++ b/tests/gateway_path/truncation.rs
@@ -231,3 +231,27 @@
     )
     .await;
 }
+
+#[rstest]
+#[case::json("application/json", r#"{"seat":[7]}"#)]
+#[case::json_of_a_vendor("application/vnd.seat+json; charset=utf-8", r#"[{"seat":7}]"#)]
+#[case::events("text/event-stream", EVENTS)]
+#[tokio::test]
+async fn a_response_cut_at_any_byte_is_not_returned_if_its_content_is_cut(
+    #[case] content_type: &'static str,
+    #[case] body: &'static str,
+) {
+    Cut::play_all(Kind::NonIdempotent, content_type, body, |cut, reply| {
+        let ends_with_connection = cut.framing == Framing::Close;
+        let is_content_whole = match (content_type, cut.sent) {
+            ("text/event-stream", 0) => !ends_with_connection,
+            ("text/event-stream", sent) => [FIRST_EVENT_BYTES, EVENTS.len()].contains(&sent),
+            (_, sent) => sent == body.len() || !ends_with_connection,
+        };
+        match cut.is_framed_whole() && is_content_whole {
+            true => assert_whole(cut, reply),
+            false => assert_unknown(cut, reply),
+        }
+    })
+    .await;
+}
