Don't count comments as events of a stream that ends with its connection

A stream without framing that sent keep-alive comments only and then closed was passed on as complete: a block of comments counted as an event.

The position in a stream is now tracked by line, in one place for streams that are forwarded and bodies that are buffered: inside an event or not, and whether one was complete. The splitter uses it to find the end of an event.

The new test failed before and passes now.

--- a/src/event.rs
+++ b/src/event.rs
@@ -3,20 +3,71 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Ends of a line followed by the blank line that ends an event. Lines end with LF or
-/// CR LF.
-const DELIMITERS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+/// Prefix of the field that numbers an event.
+const ID_FIELD: &[u8] = b"id:";
 
-/// Length of the longest delimiter.
-const MAX_DELIMITER_BYTES: usize = 3;
+/// Position in a stream of events, advanced byte by byte. Lines end with LF or CR LF; a
+/// blank line ends an event.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Position {
+    line: Line,
+    is_inside_event: bool,
+    has_event: bool,
+}
 
-/// First byte of a comment line.
-const COMMENT: u8 = b':';
+/// Part of the current line that was read.
+#[derive(Clone, Copy, Debug, Default)]
+enum Line {
+    #[default]
+    Start,
+    /// A CR at the start, which an LF turns into a blank line.
+    CarriageReturn,
+    Comment,
+    Field,
+}
 
-/// Prefix of the field that numbers an event.
-const ID_FIELD: &[u8] = b"id:";
+impl Position {
+    /// Returns whether an event has begun that isn't complete yet. Blank lines and comments
+    /// begin none.
+    pub fn is_inside_event(&self) -> bool {
+        self.is_inside_event
+    }
+
+    /// Returns whether a complete event was read.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
 
-/// An event as it was sent.
+    /// Advances over some bytes.
+    pub fn advance_over(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.advance(*byte);
+        }
+    }
+
+    /// Advances over a byte, and returns whether it ends a blank line.
+    fn advance(&mut self, byte: u8) -> bool {
+        let is_blank = matches!(
+            (self.line, byte),
+            (Line::Start | Line::CarriageReturn, b'\n')
+        );
+        self.line = match (self.line, byte) {
+            (_, b'\n') => Line::Start,
+            (Line::Start, b'\r') => Line::CarriageReturn,
+            (Line::Start, b':') => Line::Comment,
+            (Line::Start | Line::CarriageReturn | Line::Field, _) => Line::Field,
+            (Line::Comment, _) => Line::Comment,
+        };
+        if is_blank {
+            self.has_event |= self.is_inside_event;
+            self.is_inside_event = false;
+        }
+        self.is_inside_event |= matches!(self.line, Line::Field);
+        is_blank
+    }
+}
+
+/// An event as it was sent, or comments.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// The event's bytes, including the blank line at its end.
@@ -29,8 +80,9 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
-    /// Number of buffered bytes that are known to contain no delimiter.
+    /// Number of buffered bytes before `position`.
     searched: usize,
+    position: Position,
 }
 
 impl Splitter {
@@ -41,29 +93,21 @@
 
     /// Removes and returns the next complete event.
     pub fn take(&mut self) -> Option<Event> {
-        let from = self.searched.saturating_sub(MAX_DELIMITER_BYTES - 1);
-        let Some(end) = (from..self.buffer.len()).find_map(|at| self.delimiter_end(at)) else {
+        let unsearched = self.buffer.get(self.searched..)?;
+        let position = &mut self.position;
+        let Some(at) = unsearched.iter().position(|byte| position.advance(*byte)) else {
             self.searched = self.buffer.len();
             return None;
         };
-        let bytes = self.buffer.split_to(end).freeze();
+        let bytes = self.buffer.split_to(self.searched + at + 1).freeze();
         self.searched = 0;
         let id = event_id(&bytes);
         Some(Event { bytes, id })
     }
 
-    /// Returns whether the bytes after the last complete event begin another one. Blank
-    /// lines and comments don't.
-    pub fn is_inside_event(&self) -> bool {
-        let mut lines = self.buffer.as_ref().split(|byte| *byte == b'\n');
-        lines.any(|line| !matches!(line, [] | [b'\r'] | [COMMENT, ..]))
-    }
-
-    /// Returns the offset after a delimiter that starts at `at`.
-    fn delimiter_end(&self, at: usize) -> Option<usize> {
-        let rest = self.buffer.get(at..)?;
-        let found = DELIMITERS.iter().find(|it| rest.starts_with(it));
-        found.map(|delimiter| at + delimiter.len())
+    /// Returns the position after the bytes that [`Self::take`] has searched.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Removes and returns the bytes after the last complete event.
--- a/src/framing.rs
+++ b/src/framing.rs
@@ -5,7 +5,7 @@
 use hyper::body::Body;
 use serde::de::IgnoredAny;
 
-use crate::event::Splitter;
+use crate::event::Position;
 
 /// What marks the end of a response body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -66,10 +66,9 @@
 pub fn is_complete(framing: Framing, headers: &HeaderMap, body: &[u8]) -> bool {
     match (Content::of(headers), framing) {
         (Some(Content::Events), _) => {
-            let mut splitter = Splitter::default();
-            splitter.push(body);
-            let events = std::iter::from_fn(|| splitter.take()).count();
-            ends_between_events(framing, events > 0, &splitter)
+            let mut position = Position::default();
+            position.advance_over(body);
+            ends_between_events(framing, position)
         }
         // A text that is malformed, not cut, is the upstream's own.
         (Some(Content::Json), Framing::Close) => {
@@ -80,10 +79,9 @@
     }
 }
 
-/// Returns whether an event stream whose body has ended without an error is complete.
-/// `has_event` tells whether it held a complete event, and `splitter` holds the bytes after
-/// the last one.
-pub fn ends_between_events(framing: Framing, has_event: bool, splitter: &Splitter) -> bool {
+/// Returns whether an event stream whose body has ended without an error is complete, by
+/// the position of its end.
+pub fn ends_between_events(framing: Framing, position: Position) -> bool {
     let may_be_empty = framing != Framing::Close;
-    !splitter.is_inside_event() && (has_event || may_be_empty)
+    !position.is_inside_event() && (position.has_event() || may_be_empty)
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -68,8 +68,6 @@
     is_resumed: bool,
     /// Number of events forwarded.
     events: u64,
-    /// Whether the current upstream has sent a complete event.
-    has_event: bool,
     /// Factor of the time limit for the next event, raised by one each time the limit
     /// passes without another upstream to move to.
     limit_factor: u32,
@@ -126,7 +124,6 @@
         splitter: Splitter::default(),
         is_resumed: false,
         events: 0,
-        has_event: false,
         limit_factor: 1,
         is_over: false,
         first_event_after: Duration::ZERO,
@@ -204,7 +201,6 @@
     fn take_events(&mut self) -> Result<Bytes, Code> {
         let mut events = BytesMut::new();
         while let Some(event) = self.splitter.take() {
-            self.has_event = true;
             match (event.id, self.last_event) {
                 (Some(id), Some(last)) if id <= last && self.is_resumed => continue,
                 (Some(id), Some(last)) if id != last + 1 => return Err(Code::ForeignAnswer),
@@ -238,12 +234,12 @@
         let framing = exchange.framing;
         let is_whole = match Content::of(&exchange.parts.headers) {
             Some(Content::Events) | None => {
-                framing::ends_between_events(framing, self.has_event, &self.splitter)
+                framing::ends_between_events(framing, self.splitter.position())
             }
             Some(Content::Json | Content::Opaque) => true,
         };
         if !is_whole {
-            let is_inside_event = self.splitter.is_inside_event();
+            let is_inside_event = self.splitter.position().is_inside_event();
             info!(id = self.job.id, %framing, events = self.events, is_inside_event,
                 "request: body ended before the stream");
         }
@@ -324,7 +320,6 @@
     ) -> Result<(), Truncated> {
         // Drops the bytes of an incomplete event of the previous upstream.
         self.splitter = Splitter::default();
-        self.has_event = false;
         self.is_resumed = true;
         self.limit_factor = 1;
         let (state, job) = (self.state.clone(), self.job.clone());
--- a/tests/gateway_path/truncation.rs
+++ b/tests/gateway_path/truncation.rs
@@ -68,6 +68,18 @@
     assert_eq!(runs(&[&one, &two]), 2);
 }
 
+#[tokio::test]
+async fn a_stream_that_closes_after_comments_only_does_not_look_complete() {
+    let step = Step::Raw {
+        text: "connection: close\r\n\r\n: ping\n\n",
+        end: End::Close,
+    };
+    let one = Upstream::start("u1", move |_| step).await;
+    let (_host, reply) = send_one(Kind::Stream, &[&one]).await;
+    assert_eq!(reply.text(), ": ping\n\n");
+    assert!(!reply.is_complete);
+}
+
 /// What marks the end of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -453,6 +453,11 @@
         splitter.push(sent.as_bytes());
         while splitter.take().is_some() {}
         let is_outside = cut == 0 || outside.contains(&cut) || cut == text.len();
-        assert_eq!(splitter.is_inside_event(), !is_outside, "{:?}", sent);
+        assert_eq!(
+            splitter.position().is_inside_event(),
+            !is_outside,
+            "{:?}",
+            sent
+        );
     }
 }
