Forward the events before a missing one, then resume the stream

Where one read brought events and then one that isn't their successor, the host dropped all of them but had counted them as forwarded. A resumed stream went on after the last of them and ended as complete: the caller missed events.

The fault of the upstream is now handled in the next turn, after the events before it have been returned.

The new test sends events 0, 1 and 3 in one piece. Before, the caller got 2 and 3 as a complete stream; now it gets 0 to 3.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -62,6 +62,9 @@
     /// The upstream's response; `None` only while the stream moves to another upstream.
     exchange: Option<Exchange>,
     splitter: Splitter,
+    /// Fault of the current upstream that is handled once the events before it are
+    /// forwarded.
+    fault: Option<Code>,
     /// Number of the last event that was forwarded, or that the caller already has.
     last_event: Option<u64>,
     /// Whether the current upstream resumed the stream, so that it may repeat events.
@@ -122,6 +125,7 @@
         history,
         exchange: Some(exchange),
         splitter: Splitter::default(),
+        fault: None,
         is_resumed: false,
         events: 0,
         limit_factor: 1,
@@ -158,6 +162,11 @@
             return None;
         }
         loop {
+            if let Some(code) = self.fault.take()
+                && let Err(error) = self.resume(code).await
+            {
+                return Some(Err(error));
+            }
             let limit = self.limit();
             let Some(exchange) = &mut self.exchange else {
                 return Some(Err(self.fail(Code::UpstreamLost)));
@@ -169,14 +178,12 @@
                         self.splitter.push(&chunk);
                     }
                     match self.take_events() {
-                        Ok(events) if events.is_empty() => continue,
-                        Ok(events) => return Some(Ok(events)),
-                        Err(code) => code,
+                        events if events.is_empty() => continue,
+                        events => return Some(Ok(events)),
                     }
                 }
                 Ok(None) if self.is_whole() => return self.end(),
-                Ok(None) => Code::AnswerCut,
-                Ok(Some(Err(_))) => Code::AnswerCut,
+                Ok(None | Some(Err(_))) => Code::AnswerCut,
                 Err(_) if Instant::now() >= self.job.deadline => {
                     return Some(Err(self.fail(Code::StreamTimeout)));
                 }
@@ -197,13 +204,16 @@
     }
 
     /// Returns the complete events that have arrived, without those that were already
-    /// forwarded. Fails if an event is missing.
-    fn take_events(&mut self) -> Result<Bytes, Code> {
+    /// forwarded. Stops and records a fault if an event is missing.
+    fn take_events(&mut self) -> Bytes {
         let mut events = BytesMut::new();
         while let Some(event) = self.splitter.take() {
             match (event.id, self.last_event) {
                 (Some(id), Some(last)) if id <= last && self.is_resumed => continue,
-                (Some(id), Some(last)) if id != last + 1 => return Err(Code::ForeignAnswer),
+                (Some(id), Some(last)) if id != last + 1 => {
+                    self.fault = Some(Code::ForeignAnswer);
+                    break;
+                }
                 (Some(id), _) => self.last_event = Some(id),
                 (None, _) => {}
             }
@@ -222,7 +232,7 @@
             self.forwarded_at = now;
             self.limit_factor = 1;
         }
-        Ok(events.freeze())
+        events.freeze()
     }
 
     /// Returns whether a stream whose body has ended is complete. An upstream that fails
--- a/tests/gateway_path/truncation.rs
+++ b/tests/gateway_path/truncation.rs
@@ -80,6 +80,24 @@
     assert!(!reply.is_complete);
 }
 
+#[tokio::test]
+async fn events_before_a_missing_one_are_forwarded_before_the_stream_is_resumed() {
+    let step = Step::Raw {
+        text: "connection: close\r\n\r\n\
+            id: 0\ndata: event 0\n\nid: 1\ndata: event 1\n\nid: 3\ndata: event 3\n\n",
+        end: End::Close,
+    };
+    let one = Upstream::start("u1", move |_| step).await;
+    let two = Upstream::start("u2", move |_| step).await;
+    let host = Host::start(Kind::ResumableStream, &[&one, &two]).await;
+    for upstream in [&one, &two] {
+        upstream.set_resumed_to(4);
+    }
+    let reply = caller::send(host.caller, "a1", &[]).await;
+    assert_eq!(reply.body, upstream::events(0, 4), "{}", reply.text());
+    assert!(reply.is_complete);
+}
+
 /// What marks the end of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
