Home: take a body for framed only if chunks mark its end

A home refuses a response whose end can't be told from a cut, but took any Transfer-Encoding for chunks. With another last coding, such as gzip, the body ends with its connection: half of it was forwarded as complete.

The home now asks Framing, as the gateway does.

--- a/src/home.rs
+++ b/src/home.rs
@@ -3,7 +3,7 @@
 
 pub mod admission;
 pub mod connection;
-mod forward;
+pub mod forward;
 pub mod run;
 pub mod slot;
 pub mod suspect;
--- a/src/home/forward.rs
+++ b/src/home/forward.rs
@@ -7,7 +7,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -15,6 +14,7 @@
 use tokio::time::timeout_at;
 
 use crate::entry::header;
+use crate::framing::Framing;
 use crate::home::run::matches_exchange;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
@@ -119,10 +119,8 @@
 
     /// Returns whether the end of the response can be told from a truncation.
     fn is_delimited(&self) -> bool {
-        let headers = self.response.headers();
-        self.has_end_marker
-            || self.response.body().size_hint().exact().is_some()
-            || headers.contains_key(http::header::TRANSFER_ENCODING)
+        let framing = Framing::of(self.response.headers(), self.response.body());
+        self.has_end_marker || framing != Framing::Close
     }
 }
 
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -8,6 +8,8 @@
 )]
 
 mod caller;
+#[path = "../truncation/cut.rs"]
+mod cut;
 mod host;
 mod settings;
 mod truncation;
--- a/tests/gateway_path/truncation.rs
+++ b/tests/gateway_path/truncation.rs
@@ -8,12 +8,14 @@
 
 use crate::caller;
 use crate::caller::Reply;
+use crate::cut::Cut;
+use crate::cut::End;
+use crate::cut::Framing;
 use crate::host::Host;
 use crate::outcome;
 use crate::runs;
 use crate::send_one;
 use crate::upstream;
-use crate::upstream::End;
 use crate::upstream::Step;
 use crate::upstream::Upstream;
 
@@ -98,114 +100,28 @@
     assert!(reply.is_complete);
 }
 
-/// What marks the end of a body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// The end of the connection.
-    Close,
-    /// The length of the whole body.
-    Length,
-    /// One chunk of the length of the whole body.
-    Chunked,
-    /// One chunk of what is sent, and the empty chunk that ends a body.
-    ChunkedToEnd,
+/// Returns the reply to a request whose response is cut.
+async fn play(cut: Cut, kind: Kind) -> (Cut, Reply) {
+    let (text, end): (&str, _) = (cut.text().leak(), cut.end);
+    let one = Upstream::start("u1", move |_| Step::Raw { text, end }).await;
+    let (_host, reply) = send_one(kind, &[&one]).await;
+    (cut, reply)
 }
 
-/// A response of which the upstream sends only the first bytes of the body.
-#[derive(Clone, Copy, Debug)]
-struct Cut {
-    framing: Framing,
+/// Plays all cuts of a body and passes each reply to `check`.
+async fn play_all(
+    kind: Kind,
     content_type: &'static str,
     body: &'static str,
-    sent: usize,
-    end: End,
-}
-
-impl Cut {
-    /// Returns all cuts of a body.
-    fn all(content_type: &'static str, body: &'static str) -> Vec<Self> {
-        let framings = [
-            Framing::Close,
-            Framing::Length,
-            Framing::Chunked,
-            Framing::ChunkedToEnd,
-        ];
-        let mut cuts = Vec::new();
-        for framing in framings {
-            for end in [End::Close, End::Reset] {
-                cuts.extend((0..=body.len()).map(|sent| Self {
-                    framing,
-                    content_type,
-                    body,
-                    sent,
-                    end,
-                }));
-            }
-        }
-        cuts
-    }
-
-    fn prefix(&self) -> &'static str {
-        &self.body[..self.sent]
-    }
-
-    /// Returns the reaction of an upstream that sends these bytes.
-    fn step(&self) -> Step {
-        let (length, prefix) = (self.body.len(), self.prefix());
-        let sent = prefix.len();
-        let framed = match self.framing {
-            Framing::Close => format!("connection: close\r\n\r\n{prefix}"),
-            Framing::Length => format!("content-length: {length}\r\n\r\n{prefix}"),
-            Framing::Chunked => {
-                format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{prefix}")
-            }
-            Framing::ChunkedToEnd if sent == 0 => {
-                "transfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_owned()
-            }
-            Framing::ChunkedToEnd => {
-                format!("transfer-encoding: chunked\r\n\r\n{sent:x}\r\n{prefix}\r\n0\r\n\r\n")
-            }
-        };
-        let text = format!("content-type: {}\r\n{framed}", self.content_type);
-        Step::Raw {
-            text: text.leak(),
-            end: self.end,
-        }
-    }
-
-    /// Returns whether the framing says that the body is complete, as far as it can.
-    fn is_framed_whole(&self) -> bool {
-        match self.framing {
-            Framing::Close => self.end == End::Close,
-            Framing::Length => self.sent == self.body.len(),
-            Framing::Chunked => false,
-            Framing::ChunkedToEnd => true,
-        }
-    }
-
-    /// Returns the reply to a request whose response is cut like this.
-    async fn play(self, kind: Kind) -> (Self, Reply) {
-        let step = self.step();
-        let one = Upstream::start("u1", move |_| step).await;
-        let (_host, reply) = send_one(kind, &[&one]).await;
-        (self, reply)
-    }
-
-    /// Plays all cuts of a body and passes each reply to `check`.
-    async fn play_all(
-        kind: Kind,
-        content_type: &'static str,
-        body: &'static str,
-        check: impl Fn(&Self, &Reply),
-    ) {
-        let cuts = Self::all(content_type, body);
-        let count = cuts.len();
-        let replies = stream::iter(cuts).map(|cut| cut.play(kind));
-        let replies: Vec<_> = replies.buffer_unordered(CONCURRENCY).collect().await;
-        assert_eq!(replies.len(), count);
-        for (cut, reply) in &replies {
-            check(cut, reply);
-        }
+    check: impl Fn(&Cut, &Reply),
+) {
+    let cuts = Cut::all(content_type, body);
+    let count = cuts.len();
+    let replies = stream::iter(cuts).map(|cut| play(cut, kind));
+    let replies: Vec<_> = replies.buffer_unordered(CONCURRENCY).collect().await;
+    assert_eq!(replies.len(), count);
+    for (cut, reply) in &replies {
+        check(cut, reply);
     }
 }
 
@@ -227,7 +143,7 @@
 
 #[tokio::test]
 async fn a_stream_cut_at_any_byte_looks_complete_only_between_events() {
-    Cut::play_all(Kind::Stream, "text/event-stream", EVENTS, |cut, reply| {
+    play_all(Kind::Stream, "text/event-stream", EVENTS, |cut, reply| {
         let is_between_events = [0, FIRST_EVENT_BYTES, EVENTS.len()].contains(&cut.sent);
         let is_empty = cut.sent == 0;
         let ends_with_connection = cut.framing == Framing::Close;
@@ -250,7 +166,7 @@
 
 #[tokio::test]
 async fn a_response_cut_at_any_byte_is_returned_only_if_its_framing_allows() {
-    Cut::play_all(
+    play_all(
         Kind::NonIdempotent,
         "text/plain",
         "seat 7",
@@ -271,7 +187,7 @@
     #[case] content_type: &'static str,
     #[case] body: &'static str,
 ) {
-    Cut::play_all(Kind::NonIdempotent, content_type, body, |cut, reply| {
+    play_all(Kind::NonIdempotent, content_type, body, |cut, reply| {
         let ends_with_connection = cut.framing == Framing::Close;
         let is_content_whole = match (content_type, cut.sent) {
             ("text/event-stream", 0) => !ends_with_connection,
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -10,13 +10,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::cut::End;
+
 /// Delay of slow responses, longer than the objective of the routes.
 const SLOW_DELAY: Duration = Duration::from_millis(400);
 
@@ -67,15 +68,6 @@
     },
 }
 
-/// How an upstream ends a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// Closes it in order, as the system does when a process ends.
-    Close,
-    /// Resets it.
-    Reset,
-}
-
 /// A received request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -224,8 +216,7 @@
                 if matches!(step, Step::ResetLate) {
                     tokio::time::sleep(SLOW_DELAY).await;
                 }
-                let socket = SockRef::from(&stream);
-                socket.set_linger(Some(Duration::ZERO)).unwrap();
+                End::Reset.apply(stream).unwrap();
                 return;
             }
             Step::Truncate => {
@@ -260,10 +251,7 @@
             Step::Raw { text, end } => {
                 let text = format!("HTTP/1.1 200 X\r\n{echo}{text}");
                 let _sent = stream.write_all(text.as_bytes()).await;
-                if end == End::Reset {
-                    let socket = SockRef::from(&stream);
-                    socket.set_linger(Some(Duration::ZERO)).unwrap();
-                }
+                end.apply(stream).unwrap();
                 return;
             }
             Step::Stall { at, to } => {
