Home: end a stream whose last bytes are its end marker with a blank line

An engine's stream whose body ended right behind [DONE], before the line break, was forwarded as complete without the blank line. Its content is complete, but a caller that parses events doesn't get the last one.

The home adds the line break and the blank line, as it does where the body goes on behind the marker. The new test cuts an engine's stream at each byte, in four framings, with FIN and reset; it failed before at that byte and passes now.

--- a/src/home/forward.rs
+++ b/src/home/forward.rs
@@ -26,6 +26,9 @@
 /// The data of the last event in an engine's stream.
 const DONE: &[u8] = b"[DONE]";
 
+/// The end of the line and of the event of the end marker.
+const EVENT_END: Frame = Frame::Data(Bytes::from_static(b"\n\n"));
+
 /// The maximum number of bytes buffered of a line. An end marker is shorter.
 const MAX_LINE_BYTES: usize = 32;
 
@@ -99,15 +102,19 @@
                 Some(Ok(Ok(bytes))) => bytes,
                 Some(Ok(Err(_))) => continue,
                 Some(Err(_)) => return Err(Refusal::unknown(Code::AnswerCut)),
-                None if marker.is_some_and(|marker| !marker.is_done()) => {
-                    return Err(Refusal::unknown(Code::AnswerCut));
+                None => {
+                    match &marker {
+                        Some(marker) if marker.is_done() => send(out, EVENT_END).await?,
+                        Some(_) => return Err(Refusal::unknown(Code::AnswerCut)),
+                        None => {}
+                    }
+                    return send(out, Frame::End).await.map(|()| true);
                 }
-                None => return send(out, Frame::End).await.map(|()| true),
             };
             match marker.as_mut().and_then(|marker| marker.find_end(&bytes)) {
                 Some(end) => {
                     send(out, Frame::Data(bytes.slice(..end))).await?;
-                    send(out, Frame::Data(Bytes::from_static(b"\n\n"))).await?;
+                    send(out, EVENT_END).await?;
                     let is_idle =
                         matches!(timeout(END_OF_BODY_TIMEOUT, body.frame()).await, Ok(None));
                     return send(out, Frame::End).await.map(|()| is_idle);
--- a/tests/home_forward.rs
+++ b/tests/home_forward.rs
@@ -44,6 +44,16 @@
 /// Capacity for the frames of a response, more than any has here.
 const MAX_FRAMES: usize = 64;
 
+/// The end marker of an engine's stream.
+const DONE: &str = "data: [DONE]";
+
+/// An engine's stream.
+const CHAT: &str = "data: one\n\ndata: [DONE]\n\n";
+
+fn engine() -> Pool {
+    Pool::Model("assistant".into())
+}
+
 fn service() -> Pool {
     Pool::Service("tickets".into())
 }
@@ -150,6 +160,17 @@
     }
 }
 
+#[tokio::test]
+async fn an_engine_stream_cut_at_any_byte_is_complete_only_with_its_end_marker() {
+    let marker_end = CHAT.find(DONE).unwrap() + DONE.len();
+    forward_all(engine(), "text/event-stream", CHAT, |cut| {
+        let has_marker_line = cut.sent > marker_end;
+        let ends_with_marker = cut.sent == marker_end && cut.is_framed_whole();
+        (has_marker_line || ends_with_marker).then_some(CHAT)
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_response_cut_at_any_byte_is_complete_only_if_it_is_framed() {
     forward_all(service(), "application/json", r#"{"seat":7}"#, |cut| {
