Home: refuse to end an event stream of a service inside an event

The home knows the end marker of engines' streams; an event stream of a plain service counted as complete at any end of its chunks, also inside an event, which is how an upstream ends that frames what it has.

The home now follows the position in such a stream and reports the answer as cut if it ends inside an event. The new test cuts one at each byte, in four framings, with FIN and reset; it failed before and passes now.

--- a/src/home/forward.rs
+++ b/src/home/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -14,6 +15,9 @@
 use tokio::time::timeout_at;
 
 use crate::entry::header;
+use crate::event;
+use crate::framing;
+use crate::framing::Content;
 use crate::framing::Framing;
 use crate::home::run::matches_exchange;
 use crate::outcome::Code;
@@ -40,25 +44,56 @@
     run: &'a Run,
     response: Response<Incoming>,
     frame_timeout: Duration,
-    /// Whether the response is an engine's event stream, which has an end
-    /// marker.
-    has_end_marker: bool,
+    framing: Framing,
+    ending: Ending,
+}
+
+/// What tells, beside the end of the body, that a response is complete.
+enum Ending {
+    /// The end marker of an engine's event stream.
+    Marker(EndMarker),
+    /// The blank line after the last event of another event stream.
+    Events(event::Position),
+    /// Nothing.
+    Body,
+}
+
+impl Ending {
+    /// Returns the ending of a response from an upstream of a pool.
+    fn of(pool: &Pool, headers: &HeaderMap) -> Self {
+        match (Content::of(headers), pool) {
+            (Some(Content::Events), Pool::Model(_)) => Self::Marker(EndMarker::default()),
+            (Some(Content::Events), Pool::Service(_)) => Self::Events(event::Position::default()),
+            (Some(Content::Json | Content::Opaque) | None, _) => Self::Body,
+        }
+    }
+
+    /// Reads a chunk of the body. Returns the offset of the line break after the end
+    /// marker, if it is in this chunk.
+    fn find_end(&mut self, chunk: &[u8]) -> Option<usize> {
+        match self {
+            Self::Marker(marker) => marker.find_end(chunk),
+            Self::Events(position) => {
+                position.advance_over(chunk);
+                None
+            }
+            Self::Body => None,
+        }
+    }
 }
 
 impl<'a> Forwarder<'a> {
     /// Takes the response to a run. `frame_timeout` limits the pause before
     /// each part of its body.
     pub fn new(run: &'a Run, response: Response<Incoming>, frame_timeout: Duration) -> Self {
-        let is_event_stream = response
-            .headers()
-            .get(http::header::CONTENT_TYPE)
-            .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-        let has_end_marker = is_event_stream && matches!(run.call.pool, Pool::Model(_));
+        let framing = Framing::of(response.headers(), response.body());
+        let ending = Ending::of(&run.call.pool, response.headers());
         Self {
             run,
             response,
             frame_timeout,
-            has_end_marker,
+            framing,
+            ending,
         }
     }
 
@@ -91,7 +126,7 @@
         out: &mpsc::Sender<Frame>,
     ) -> Result<bool, Refusal> {
         send(out, Frame::Head(head)).await?;
-        let mut marker = self.has_end_marker.then(EndMarker::default);
+        let mut ending = self.ending;
         let mut body = self.response.into_body();
         loop {
             let limit = Instant::now() + self.frame_timeout;
@@ -103,15 +138,19 @@
                 Some(Ok(Err(_))) => continue,
                 Some(Err(_)) => return Err(Refusal::unknown(Code::AnswerCut)),
                 None => {
-                    match &marker {
-                        Some(marker) if marker.is_done() => send(out, EVENT_END).await?,
-                        Some(_) => return Err(Refusal::unknown(Code::AnswerCut)),
-                        None => {}
+                    match &ending {
+                        Ending::Marker(marker) if marker.is_done() => send(out, EVENT_END).await?,
+                        Ending::Events(position)
+                            if framing::ends_between_events(self.framing, *position) => {}
+                        Ending::Body => {}
+                        Ending::Marker(_) | Ending::Events(_) => {
+                            return Err(Refusal::unknown(Code::AnswerCut));
+                        }
                     }
                     return send(out, Frame::End).await.map(|()| true);
                 }
             };
-            match marker.as_mut().and_then(|marker| marker.find_end(&bytes)) {
+            match ending.find_end(&bytes) {
                 Some(end) => {
                     send(out, Frame::Data(bytes.slice(..end))).await?;
                     send(out, EVENT_END).await?;
@@ -126,8 +165,7 @@
 
     /// Returns whether the end of the response can be told from a truncation.
     fn is_delimited(&self) -> bool {
-        let framing = Framing::of(self.response.headers(), self.response.body());
-        self.has_end_marker || framing != Framing::Close
+        matches!(self.ending, Ending::Marker(_)) || self.framing != Framing::Close
     }
 }
 
--- a/tests/home_forward.rs
+++ b/tests/home_forward.rs
@@ -50,6 +50,11 @@
 /// An engine's stream.
 const CHAT: &str = "data: one\n\ndata: [DONE]\n\n";
 
+/// Two events of a plain service, of which the first has [`FIRST_EVENT_BYTES`].
+const EVENTS: &str = "data: one\n\ndata: two\n\n";
+
+const FIRST_EVENT_BYTES: usize = 11;
+
 fn engine() -> Pool {
     Pool::Model("assistant".into())
 }
@@ -171,6 +176,16 @@
     .await;
 }
 
+#[tokio::test]
+async fn an_event_stream_of_a_service_cut_at_any_byte_is_complete_only_between_events() {
+    forward_all(service(), "text/event-stream", EVENTS, |cut| {
+        let is_between_events = [0, FIRST_EVENT_BYTES, EVENTS.len()].contains(&cut.sent);
+        let is_whole = is_between_events && cut.is_framed_whole();
+        (is_whole && cut.framing != Framing::Close).then(|| cut.prefix())
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_response_cut_at_any_byte_is_complete_only_if_it_is_framed() {
     forward_all(service(), "application/json", r#"{"seat":7}"#, |cut| {
