Return a published value that arrived before its connection failed

Found by a test of cut responses, not seen so far. If the platform's connection was reset behind a complete response, the client returned the error of the connection and dropped the response; hosts got the value at the next call only.

The exchange decides now: it has the response, or gets the error itself.

--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -191,10 +191,9 @@
     tokio::select! {
         biased;
         result = &mut exchange => result,
-        ended = &mut connection => {
-            ended?;
-            exchange.await
-        }
+        // The response may have arrived before the connection failed; if not, the
+        // exchange gets the error.
+        _ended = &mut connection => exchange.await,
     }
 }
 
--- a/tests/config_platform.rs
+++ b/tests/config_platform.rs
@@ -13,6 +13,7 @@
 use masticmoor::member::listing::State;
 use masticmoor::revision::Revision;
 use rstest::rstest;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -130,3 +131,22 @@
     let nobody = Client::new(Vec::new(), TIMEOUT).get(Key::Rules).await;
     assert!(matches!(nobody, Err(Error::NoAddress)));
 }
+
+#[tokio::test]
+async fn a_complete_value_is_returned_though_its_connection_is_reset_afterwards() {
+    for _ in 0..20 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
+        let address = listener.local_addr().expect("local address");
+        let _task = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accept a call");
+            let _length = stream.read(&mut [0; 4_096]).await;
+            let response = response("200 OK", "revision: 7\r\n", "a = 1");
+            let _sent = stream.write_all(response.as_bytes()).await;
+            let socket = SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("set linger");
+        });
+        let mut client = Client::new(vec![address], TIMEOUT);
+        let found = client.get(Key::Register).await.expect("a value");
+        assert_eq!(found, Some(value(7, "a = 1")));
+    }
+}
