Reject a published value whose response may have been cut

A value whose response ends with its connection was applied as it was.

The client now returns a typed error for such a response, so that the applied value stays and the next replica is asked. The list of hosts is JSON, which tells its end.

--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -18,6 +18,7 @@
 
 use crate::config::VALUE_LIMIT_BYTES;
 use crate::config::key::Key;
+use crate::framing::Framing;
 use crate::member::listing::Listing;
 use crate::revision::Revision;
 
@@ -84,6 +85,9 @@
     /// The body exceeds the maximum size of a value, or ended early.
     #[error("body of the platform's response can't be read")]
     Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    /// The body ends with its connection, so part of the value may be missing.
+    #[error("platform's response has neither a length nor chunks")]
+    Unframed,
     /// The value is not valid UTF-8.
     #[error("value is not valid UTF-8")]
     Text(#[from] std::string::FromUtf8Error),
@@ -129,7 +133,8 @@
 
     /// Requests the list of hosts.
     pub async fn hosts(&mut self) -> Result<Vec<Listing>, Error> {
-        let response = self.call("/v1/hosts", Duration::ZERO).await?;
+        // JSON tells its end, so the framing doesn't matter.
+        let (_, response) = self.call("/v1/hosts", Duration::ZERO).await?;
         match response.status() {
             StatusCode::OK => Ok(serde_json::from_slice(response.body())?),
             status => Err(Error::Status { status }),
@@ -137,8 +142,9 @@
     }
 
     async fn value(&mut self, path: &str, wait: Duration) -> Result<Option<Value>, Error> {
-        let response = self.call(path, wait).await?;
+        let (framing, response) = self.call(path, wait).await?;
         match response.status() {
+            StatusCode::OK if framing == Framing::Close => Err(Error::Unframed),
             StatusCode::OK => Value::read(response).map(Some),
             StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
             status => Err(Error::Status { status }),
@@ -147,7 +153,11 @@
 
     /// Calls one replica. The next call goes to the next replica, since a
     /// replica that responds may still lag for a long time.
-    async fn call(&mut self, path: &str, wait: Duration) -> Result<Response<Bytes>, Error> {
+    async fn call(
+        &mut self,
+        path: &str,
+        wait: Duration,
+    ) -> Result<(Framing, Response<Bytes>), Error> {
         let count = self.addresses.len();
         let index = self.next_replica.checked_rem(count).unwrap_or_default();
         let address = *self.addresses.get(index).ok_or(Error::NoAddress)?;
@@ -174,7 +184,7 @@
     }
 }
 
-async fn send(address: SocketAddr, path: &str) -> Result<Response<Bytes>, Error> {
+async fn send(address: SocketAddr, path: &str) -> Result<(Framing, Response<Bytes>), Error> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|source| Error::Connect { address, source })?;
@@ -197,12 +207,13 @@
     }
 }
 
-async fn read(response: Response<Incoming>) -> Result<Response<Bytes>, Error> {
+async fn read(response: Response<Incoming>) -> Result<(Framing, Response<Bytes>), Error> {
     let (parts, body) = response.into_parts();
+    let framing = Framing::of(&parts.headers, &body);
     let body = Limited::new(body, VALUE_LIMIT_BYTES)
         .collect()
         .await
         .map_err(Error::Body)?
         .to_bytes();
-    Ok(Response::from_parts(parts, body))
+    Ok((framing, Response::from_parts(parts, body)))
 }
--- a/tests/config_platform.rs
+++ b/tests/config_platform.rs
@@ -1,5 +1,8 @@
 //! The client of the platform, against canned responses over real sockets.
 
+#[path = "truncation/cut.rs"]
+mod cut;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,17 +16,25 @@
 use masticmoor::member::listing::State;
 use masticmoor::revision::Revision;
 use rstest::rstest;
-use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use cut::Cut;
+use cut::End;
+use cut::Framing;
+
 const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Serves one call with a canned response, and returns the first line of the
 /// request.
 async fn replica(response: String) -> (SocketAddr, JoinHandle<String>) {
+    replica_that_ends(response, End::Close).await
+}
+
+/// Serves one call like [`replica`], and ends the connection in some way.
+async fn replica_that_ends(response: String, end: End) -> (SocketAddr, JoinHandle<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
     let address = listener.local_addr().expect("local address");
     let task = tokio::spawn(async move {
@@ -33,6 +44,7 @@
         let request = String::from_utf8_lossy(request.get(..length).unwrap_or_default());
         // The client may have closed the connection already.
         let _ = stream.write_all(response.as_bytes()).await;
+        end.apply(stream).expect("end the connection");
         request.lines().next().unwrap_or_default().to_owned()
     });
     (address, task)
@@ -135,18 +147,30 @@
 #[tokio::test]
 async fn a_complete_value_is_returned_though_its_connection_is_reset_afterwards() {
     for _ in 0..20 {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
-        let address = listener.local_addr().expect("local address");
-        let _task = tokio::spawn(async move {
-            let (mut stream, _) = listener.accept().await.expect("accept a call");
-            let _length = stream.read(&mut [0; 4_096]).await;
-            let response = response("200 OK", "revision: 7\r\n", "a = 1");
-            let _sent = stream.write_all(response.as_bytes()).await;
-            let socket = SockRef::from(&stream);
-            socket.set_linger(Some(Duration::ZERO)).expect("set linger");
-        });
+        let response = response("200 OK", "revision: 7\r\n", "a = 1");
+        let (address, _task) = replica_that_ends(response, End::Reset).await;
         let mut client = Client::new(vec![address], TIMEOUT);
         let found = client.get(Key::Register).await.expect("a value");
         assert_eq!(found, Some(value(7, "a = 1")));
     }
 }
+
+/// Guards against half a register or half of the rules, which may be valid too.
+#[tokio::test]
+async fn a_value_cut_at_any_byte_is_returned_only_if_it_is_framed() {
+    let text = "a = 1\nb = 2\n";
+    for cut in Cut::all("application/toml", text) {
+        let response = format!("HTTP/1.1 200 OK\r\nrevision: 7\r\n{}", cut.text());
+        let (address, _task) = replica_that_ends(response, cut.end).await;
+        let mut client = Client::new(vec![address], TIMEOUT);
+        let result = client.get(Key::Register).await;
+        match cut.is_framed_whole() && cut.framing != Framing::Close {
+            true => assert_eq!(
+                result.ok().flatten(),
+                Some(value(7, cut.prefix())),
+                "{cut:?}"
+            ),
+            false => assert!(result.is_err(), "{cut:?}: {result:?}"),
+        }
+    }
+}
