--- a/tests/mirror_table.rs
+++ b/tests/mirror_table.rs
@@ -124,3 +124,32 @@
     );
     assert!(wire::decode::<Reply>(b"garbage that is no reply").is_err());
 }
+
+/// A reply that ends with its connection is complete only if it can be decoded.
+#[test]
+fn a_reply_cut_at_any_byte_is_an_error() {
+    let contents = [
+        Content::Changes(vec![event("a", 9, Some("x")), event("b", 8, None)]),
+        Content::Changes(Vec::new()),
+        Content::Full(items(&[
+            ("a", 9, "x"),
+            ("b", 8, "a longer value, a longer value"),
+        ])),
+    ];
+    for content in contents {
+        let reply = Reply {
+            revision: 9,
+            age_ms: 1,
+            waited_ms: 2,
+            settling_ms: 3,
+            content,
+        };
+        let bytes = wire::encode(&reply).unwrap_or_default();
+        assert!(!bytes.is_empty());
+        for cut in 0..bytes.len() {
+            let (sent, _) = bytes.split_at(cut);
+            let decoded = wire::decode::<Reply>(sent);
+            assert!(decoded.is_err(), "{cut} of {}: {decoded:?}", bytes.len());
+        }
+    }
+}
