Return a host's reply that arrived before its connection ended

Found by looking at all that read answers; in hosts' logs it would be `peers: can't follow a host` with status 503, which no host had sent. A host that follows another one waited for the reply or the end of the connection, whichever came first. Where the leader closes or resets the connection behind its reply, as at its exit, the complete reply was dropped, so the follower's copy of the store stayed as old as it was.

As in the client of the platform, the exchange decides now.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -138,12 +138,12 @@
             false => Err(Fault::Refused(status)),
         }
     };
+    tokio::pin!(exchange);
     let bytes = tokio::select! {
-        bytes = exchange => bytes?,
-        ended = connection => {
-            ended?;
-            return Err(Fault::Refused(http::StatusCode::SERVICE_UNAVAILABLE));
-        }
+        bytes = &mut exchange => bytes?,
+        // The reply may have arrived before the connection ended; if not, the exchange
+        // gets the error.
+        _ended = connection => exchange.await?,
     };
     Ok(wire::decode(&bytes)?)
 }
--- a/tests/config_platform.rs
+++ b/tests/config_platform.rs
@@ -2,6 +2,8 @@
 
 #[path = "truncation/cut.rs"]
 mod cut;
+#[path = "truncation/end.rs"]
+mod end;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,8 +24,8 @@
 use tokio::task::JoinHandle;
 
 use cut::Cut;
-use cut::End;
 use cut::Framing;
+use end::End;
 
 const TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -10,6 +10,8 @@
 mod caller;
 #[path = "../truncation/cut.rs"]
 mod cut;
+#[path = "../truncation/end.rs"]
+mod end;
 mod host;
 mod settings;
 mod truncation;
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::cut::End;
+use crate::end::End;
 
 /// Delay of slow responses, longer than the objective of the routes.
 const SLOW_DELAY: Duration = Duration::from_millis(400);
--- a/tests/home_forward.rs
+++ b/tests/home_forward.rs
@@ -5,6 +5,8 @@
 
 #[path = "truncation/cut.rs"]
 mod cut;
+#[path = "truncation/end.rs"]
+mod end;
 
 use std::time::Duration;
 
@@ -35,8 +37,8 @@
 use tokio::time::Instant;
 
 use cut::Cut;
-use cut::End;
 use cut::Framing;
+use end::End;
 
 /// Time limit of a response and of each part of it.
 const TIMEOUT: Duration = Duration::from_secs(10);
--- a/tests/truncation/cut.rs
+++ b/tests/truncation/cut.rs
@@ -1,29 +1,6 @@
 //! Responses of which an upstream sends only the first bytes, with each framing.
 
-use std::io;
-use std::time::Duration;
-
-use socket2::SockRef;
-use tokio::net::TcpStream;
-
-/// How an upstream ends a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// Closes it in order, as the system does when a process ends.
-    Close,
-    /// Resets it.
-    Reset,
-}
-
-impl End {
-    /// Ends a connection.
-    pub fn apply(self, stream: TcpStream) -> io::Result<()> {
-        match self {
-            Self::Close => Ok(()),
-            Self::Reset => SockRef::from(&stream).set_linger(Some(Duration::ZERO)),
-        }
-    }
-}
+use crate::end::End;
 
 /// What marks the end of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
