Reset the connection of an HTTP/1.0 caller whose response breaks off

A response to HTTP/1.0 that isn't of known length ends with its connection. Both listeners closed it in order when a stream broke off, so that the caller took the part for the whole.

Connections that carried a request of HTTP/1.0 and fail are now reset: the stream is wrapped in a socket that sets a zero linger time when it is dropped. Callers of HTTP/1.1 still get all that was sent, and miss the empty chunk.

Two new tests, one for each listener, failed before and pass now; complete responses to HTTP/1.0 are still closed in order.

--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -19,6 +19,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::entry::caller;
+use crate::socket;
+use crate::socket::Socket;
 use crate::state::State;
 
 /// The pause after a failed accept.
@@ -58,7 +60,11 @@
     }
     let local_address = stream.local_addr().unwrap_or(state.options.host.caller);
     let closed = state.intake_closed.clone();
+    let guard = socket::Guard::default();
+    let socket = Socket::new(stream, &guard);
+    let requests = guard.clone();
     let service = service_fn(move |request: http::Request<Incoming>| {
+        requests.record_request(request.version());
         let state = state.clone();
         let local = LocalAddr(Addr::SocketAddr(local_address));
         let remote = RemoteAddr(Addr::SocketAddr(remote_address));
@@ -69,7 +75,7 @@
         }
     });
     let builder = auto::Builder::new(TokioExecutor::new());
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
     let served = tokio::select! {
         served = connection.as_mut() => served,
         () = closed.cancelled() => {
@@ -79,5 +85,6 @@
     };
     if let Err(error) = served {
         tracing::debug!(%error, "entry: connection failed");
+        guard.record_failure();
     }
 }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -20,6 +22,8 @@
 use crate::gateway::forward;
 use crate::gateway::state::State;
 use crate::gateway::table::Limits;
+use crate::socket;
+use crate::socket::Socket;
 
 /// Minimum size of the header buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
@@ -65,9 +69,13 @@
         .view()
         .route_table()
         .map_or_else(Limits::default, |table| table.limits.clone());
+    let guard = socket::Guard::default();
+    let socket = Socket::new(stream, &guard);
     let service = {
         let state = state.clone();
-        service_fn(move |request| {
+        let guard = guard.clone();
+        service_fn(move |request: Request<Incoming>| {
+            guard.record_request(request.version());
             let state = state.clone();
             async move {
                 let guard = RequestGuard::new(&state);
@@ -80,7 +88,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout * IDLE_TIMEOUT_FACTOR)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = &mut connection => ended,
@@ -91,7 +99,9 @@
     };
     // A caller that disconnects and a response that ends early are errors here; the
     // handler of the request has logged both.
-    drop(ended);
+    if ended.is_err() {
+        guard.record_failure();
+    }
 }
 
 /// Counts a connection as open until it is dropped.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 //! - [`register`]: the hosts, upstreams, models, services and workspaces that exist
 //! - [`revision`]: the revision of a published value
 //! - [`rules`]: operational rules that supplement the register
+//! - [`socket`]: a TCP stream of a caller, and how it ends
 //! - [`state`]: the state that the tasks of a host share
 //! - [`token`]: execution tokens, which let a request run at most once
 
@@ -56,5 +57,6 @@
 pub mod register;
 pub mod revision;
 pub mod rules;
+pub mod socket;
 pub mod state;
 pub mod token;
--- a/standin/tests/fleet_whole.rs
+++ b/standin/tests/fleet_whole.rs
@@ -1,6 +1,7 @@
 //! Every caller receives the complete response to its own request or can detect
 //! that it did not, whatever happens to responses and connections on the way.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +17,10 @@
 use standin::fleet::shape::Shape;
 use standin::fleet::until;
 use standin::server::socket::Silence;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// The time limit for a lookup after pooled connections went silent.
 const LOOKUP_LIMIT: Duration = Duration::from_secs(2);
@@ -81,6 +86,42 @@
     );
 }
 
+/// A response to HTTP/1.0 ends with its connection.
+#[rstest]
+#[case::whole(false)]
+#[case::truncated(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_stream_resets_the_connection_of_an_http_1_0_caller(#[case] truncated: bool) {
+    let fleet = Fleet::start_ready(Shape::zones(1, 1, 1, 0).warm().with_long_timeouts())
+        .await
+        .unwrap();
+    fleet.engines["z1-e1"].shared.fault.set_plan(Plan {
+        truncated,
+        ..Plan::default()
+    });
+    let body = r#"{"model":"assistant","stream":true,"messages":[{"role":"user","content":"hi"}]}"#;
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nhost: entry\r\nmasticmoor-workspace: school\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let address = fleet.caller("z1-h1").unwrap();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let read = stream.read_to_end(&mut bytes);
+    let end = timeout(STATE_LIMIT, read).await.unwrap();
+    let text = String::from_utf8_lossy(&bytes);
+    match truncated {
+        true => assert_eq!(
+            end.unwrap_err().kind(),
+            ErrorKind::ConnectionReset,
+            "{text}"
+        ),
+        false => assert!(end.is_ok() && text.contains("[DONE]"), "{text}"),
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_home_is_killed_ends_in_an_error_event_and_is_truncated() {
     let mut fleet = Fleet::start_ready(slow(TOKEN_TIME)).await.unwrap();
--- a/tests/gateway_path/caller.rs
+++ b/tests/gateway_path/caller.rs
@@ -1,6 +1,7 @@
 //! Caller that sends requests to a gateway and parses the raw responses.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -85,6 +86,19 @@
     result.await.is_ok()
 }
 
+/// Sends a request of HTTP/1.0, in which a body ends with its connection. Returns the body,
+/// or the error of a connection that doesn't close in order.
+pub async fn send_http_1_0(address: SocketAddr, attempt: &str) -> io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(address).await?;
+    let text = request(attempt, &[]).replacen("HTTP/1.1", "HTTP/1.0", 1);
+    stream.write_all(text.as_bytes()).await?;
+    let mut bytes = Vec::new();
+    timeout(TIMEOUT, stream.read_to_end(&mut bytes)).await??;
+    let head = bytes.windows(4).position(|it| it == b"\r\n\r\n");
+    let body = bytes.split_off(head.map_or(bytes.len(), |at| at + 4));
+    Ok(body)
+}
+
 /// Returns whether a connection can be established.
 pub async fn connects(address: SocketAddr) -> bool {
     TcpStream::connect(address).await.is_ok()
--- a/tests/gateway_path/truncation.rs
+++ b/tests/gateway_path/truncation.rs
@@ -1,5 +1,7 @@
 //! Responses that upstreams break off, with each framing and at each byte.
 
+use std::io::ErrorKind;
+
 use futures_util::StreamExt;
 use futures_util::stream;
 use masticmoor::gateway::table::Kind;
@@ -82,6 +84,28 @@
     assert!(!reply.is_complete);
 }
 
+#[tokio::test]
+async fn a_truncated_stream_resets_the_connection_of_an_http_1_0_caller() {
+    let whole = |_| Step::Stream {
+        from: 0,
+        to: 2,
+        truncated: false,
+    };
+    let one = Upstream::start("u1", whole).await;
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let body = caller::send_http_1_0(host.caller, "a1").await;
+    assert_eq!(body.unwrap(), upstream::events(0, 2));
+    let truncated = |_| Step::Stream {
+        from: 0,
+        to: 2,
+        truncated: true,
+    };
+    let one = Upstream::start("u1", truncated).await;
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let body = caller::send_http_1_0(host.caller, "a1").await;
+    assert_eq!(body.unwrap_err().kind(), ErrorKind::ConnectionReset);
+}
+
 #[tokio::test]
 async fn events_before_a_missing_one_are_forwarded_before_the_stream_is_resumed() {
     let step = Step::Raw {
