--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -47,6 +47,13 @@
     pub text: String,
 }
 
+/// A response whose body has been read, and what marked its end.
+#[derive(Debug)]
+struct Reply {
+    framing: Framing,
+    response: Response<Bytes>,
+}
+
 /// Why a call to the platform failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -134,18 +141,18 @@
     /// Requests the list of hosts.
     pub async fn hosts(&mut self) -> Result<Vec<Listing>, Error> {
         // JSON tells its end, so the framing doesn't matter.
-        let (_, response) = self.call("/v1/hosts", Duration::ZERO).await?;
-        match response.status() {
-            StatusCode::OK => Ok(serde_json::from_slice(response.body())?),
+        let reply = self.call("/v1/hosts", Duration::ZERO).await?;
+        match reply.response.status() {
+            StatusCode::OK => Ok(serde_json::from_slice(reply.response.body())?),
             status => Err(Error::Status { status }),
         }
     }
 
     async fn value(&mut self, path: &str, wait: Duration) -> Result<Option<Value>, Error> {
-        let (framing, response) = self.call(path, wait).await?;
-        match response.status() {
-            StatusCode::OK if framing == Framing::Close => Err(Error::Unframed),
-            StatusCode::OK => Value::read(response).map(Some),
+        let reply = self.call(path, wait).await?;
+        match reply.response.status() {
+            StatusCode::OK if reply.framing == Framing::Close => Err(Error::Unframed),
+            StatusCode::OK => Value::read(reply.response).map(Some),
             StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
             status => Err(Error::Status { status }),
         }
@@ -153,11 +160,7 @@
 
     /// Calls one replica. The next call goes to the next replica, since a
     /// replica that responds may still lag for a long time.
-    async fn call(
-        &mut self,
-        path: &str,
-        wait: Duration,
-    ) -> Result<(Framing, Response<Bytes>), Error> {
+    async fn call(&mut self, path: &str, wait: Duration) -> Result<Reply, Error> {
         let count = self.addresses.len();
         let index = self.next_replica.checked_rem(count).unwrap_or_default();
         let address = *self.addresses.get(index).ok_or(Error::NoAddress)?;
@@ -184,7 +187,7 @@
     }
 }
 
-async fn send(address: SocketAddr, path: &str) -> Result<(Framing, Response<Bytes>), Error> {
+async fn send(address: SocketAddr, path: &str) -> Result<Reply, Error> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|source| Error::Connect { address, source })?;
@@ -207,7 +210,7 @@
     }
 }
 
-async fn read(response: Response<Incoming>) -> Result<(Framing, Response<Bytes>), Error> {
+async fn read(response: Response<Incoming>) -> Result<Reply, Error> {
     let (parts, body) = response.into_parts();
     let framing = Framing::of(&parts.headers, &body);
     let body = Limited::new(body, VALUE_LIMIT_BYTES)
@@ -215,5 +218,6 @@
         .await
         .map_err(Error::Body)?
         .to_bytes();
-    Ok((framing, Response::from_parts(parts, body)))
+    let response = Response::from_parts(parts, body);
+    Ok(Reply { framing, response })
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// An event as it was sent, or comments.
+/// An event as it was sent, or a block of comments, which has no number.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// The event's bytes, including the blank line at its end.
