Keep the port of a test upstream that refuses connections

Two tests of the gateway failed once together, in about 20 runs since many upstreams start beside them: one lacked two requests that the other one's upstream had got. An upstream that refuses connections had released its port, so that another test's upstream could be given it and answered in its place. The gateway wasn't at fault.

Such an upstream now keeps a socket that is bound and doesn't listen.

--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -13,6 +13,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -101,6 +102,8 @@
     /// Address that it listens on.
     pub address: SocketAddr,
     shared: Arc<Shared>,
+    /// A socket that is bound but doesn't listen.
+    reserved: Option<TcpSocket>,
 }
 
 /// Returns the bytes of a range of events.
@@ -134,16 +137,21 @@
         upstream
     }
 
-    /// Returns an upstream that refuses connections.
+    /// Returns an upstream that refuses connections. It keeps its port, which another
+    /// test's upstream could get otherwise.
     pub async fn refusing(id: &'static str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        Self::at(id, listener.local_addr().unwrap())
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut upstream = Self::at(id, socket.local_addr().unwrap());
+        upstream.reserved = Some(socket);
+        upstream
     }
 
     fn at(id: &'static str, address: SocketAddr) -> Self {
         Self {
             id,
             address,
+            reserved: None,
             shared: Arc::new(Shared {
                 requests: Mutex::default(),
                 number: AtomicUsize::new(0),
