Log the version of upstreams and which stream a caller resumes

It now has `version`, `origin` (the attempt that began the stream) and `last_event` also for streams that callers resume. The version is decoded from the upstream's item; an item without one names no upstream, as the platform says of missing fields. No decision uses it yet.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -65,6 +65,7 @@
     let deadline = arrived + timeout.min(route.timeout);
     let last_event = header_text(request.headers(), &names.last_event);
     let last_event = last_event.and_then(|it| it.trim().parse().ok());
+    let origin = header_text(request.headers(), &names.origin).map(str::to_owned);
     let (parts, body) = request.into_parts();
     let body = Limited::new(body, table.limits.body_bytes).collect();
     let body = match timeout_at(deadline, body).await {
@@ -110,6 +111,7 @@
         arrived,
         deadline,
         last_event,
+        origin,
         route,
     })
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -120,8 +120,9 @@
         let upstream = lease.record.upstream.id.clone();
         let now = Instant::now();
         let condition = lease.condition;
-        info!(target: ROUTINE, id = job.id, %upstream, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = condition.load, candidates = condition.candidates,
-            usage = %condition.status, cold = condition.is_cold, warm = condition.is_holder, holder = lease.holder.as_ref().map(|it| it.upstream.id.as_str()), last_event,
+        let last_event = last_event.or(job.last_event);
+        info!(target: ROUTINE, id = job.id, %upstream, version = %lease.record.upstream.version, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = condition.load, candidates = condition.candidates,
+            usage = %condition.status, cold = condition.is_cold, warm = condition.is_holder, holder = lease.holder.as_ref().map(|it| it.upstream.id.as_str()), last_event, origin = job.origin,
             waited_ms = millis(now.duration_since(job.arrived)), "request: sent");
         match exchange(state, job, history, lease, last_event).await {
             Ok(exchange) => return Ok(exchange),
@@ -328,7 +329,6 @@
     let connection = state.pool.acquire(upstream.address, is_fresh).await;
     let mut connection = connection.map_err(Loss::Unsent)?;
     let sent = Instant::now();
-    let last_event = last_event.or(job.last_event);
     let holder = lease.holder.as_ref().map(|it| it.upstream.address);
     let request = job.request(names, sent, &upstream.id, holder, last_event);
     history.sends += 1;
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -32,6 +32,8 @@
     pub receipt: HeaderName,
     /// Number of the last event that the caller has.
     pub last_event: HeaderName,
+    /// Attempt that began the stream that the caller resumes.
+    pub origin: HeaderName,
     /// Priority of the request, for the upstream.
     pub priority: HeaderName,
     /// Address of another engine from which the upstream can copy the cached prompt.
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -71,6 +71,8 @@
     pub deadline: Instant,
     /// Last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Attempt that began this stream, if the caller resumes one.
+    pub origin: Option<String>,
 }
 
 impl Job {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -13,6 +13,8 @@
     pub id: ident::Upstream,
     /// Service that it runs.
     pub service: ident::Service,
+    /// Version of its software. Events of different versions don't fit into one stream.
+    pub version: ident::Version,
     /// Address at which it accepts requests.
     pub address: SocketAddr,
     /// Availability zone.
--- a/src/ident.rs
+++ b/src/ident.rs
@@ -70,3 +70,7 @@
     /// A chat, unique within its workspace.
     Chat
 );
+ident!(
+    /// A version of the software that an upstream runs.
+    Version
+);
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -186,6 +186,7 @@
         not_executed: name("x-not-executed"),
         receipt: name("x-receipt"),
         last_event: name("x-last"),
+        origin: name("x-origin"),
         priority: name("x-priority"),
         fetch: name("x-fetch"),
         reserved: vec![name("x-reserved")],
@@ -297,6 +298,7 @@
     Listed {
         id: id.into(),
         service: "desk".into(),
+        version: "v1".into(),
         address,
         zone: "z1".into(),
         slots: 6,
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -105,6 +105,7 @@
     Entry::Upstream(Upstream {
         id: id.into(),
         service: "a".into(),
+        version: "v1".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: "z1".into(),
         slots: 4,
