Reproduce streams that go on at another version

Tests on one host (hypothesis 1: an upstream that breaks off or stalls), and on a host that the caller comes back to, also once the host that began the stream is killed (hypothesis 2).

Test hosts can now form a fleet on loopback addresses of their own, and their store can publish changes of upstreams.

--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -3,10 +3,14 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -33,6 +37,7 @@
 use masticmoor::options::Options;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -57,8 +62,8 @@
 /// Time after which a host that can't read the store refuses keys.
 pub const MAX_KEY_AGE: Duration = Duration::from_millis(3_000);
 
-/// Revision of the store in which the keys are revoked.
-const REVOKED_REVISION: u64 = 2;
+/// Revision of the store at the start.
+const FIRST_REVISION: u64 = 1;
 
 /// A running gateway.
 pub struct Host {
@@ -76,8 +81,10 @@
 struct Store {
     /// Whether calls get no response.
     is_silent: AtomicBool,
-    /// Whether the route table was published again without keys.
-    is_revoked: AtomicBool,
+    /// Upstreams by key, including those that were deleted since.
+    upstreams: Mutex<BTreeMap<String, Listed>>,
+    /// Changes after the first revision.
+    changes: Mutex<Vec<Event>>,
     changed: Notify,
     /// Cached prompt segments that engines list, by address.
     cached: Mutex<BTreeMap<SocketAddr, BTreeSet<u64>>>,
@@ -97,34 +104,89 @@
         upstreams: &[&Upstream],
         cached: &[(&Upstream, &[u64])],
     ) -> Self {
-        let listed = upstreams.iter().map(|it| (it.id, it.address)).collect();
-        let host = Self::run(Some(kind), listed).await;
+        let options = Options::parse(SETTINGS).unwrap();
+        let host = Self::run(options, Some(kind), listed(upstreams)).await;
         let cached = cached.iter().map(|(it, segments)| {
             let segments = segments.iter().copied().collect();
             (it.address, segments)
         });
         lock(&host.store.cached).extend(cached);
+        host.ready().await;
+        host
+    }
+
+    /// Starts gateways that know each other, each on a loopback address of its own.
+    pub async fn start_fleet(count: u8, kind: Kind, upstreams: &[&Upstream]) -> Vec<Self> {
+        let (network, port) = free_network();
+        let mut fleet = Vec::new();
+        for number in 1..=count {
+            let [a, b, c] = network;
+            let ip = Ipv4Addr::new(a, b, c, number);
+            let text = SETTINGS.replace("127.0.0.1:0", &format!("{ip}:0"));
+            let mut options = Options::parse(&text).unwrap();
+            options.host.peer.set_port(port);
+            options.gateway.gossip_port = port;
+            options.peer.seeds = vec![SocketAddr::from(([a, b, c, 1], port))];
+            let host = Self::run(options, Some(kind), listed(upstreams)).await;
+            host.ready().await;
+            fleet.push(host);
+        }
+        let acquainted = async {
+            let others = usize::from(count) - 1;
+            let knows_all =
+                |host: &Self| lock(&host.state.peers).live(Instant::now()).count() == others;
+            while !fleet.iter().all(knows_all) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(TIMEOUT, acquainted).await.unwrap();
+        fleet
+    }
+
+    /// Stops all tasks of the gateway, as if its process were killed.
+    pub async fn kill(&self) {
+        self.state.stop.cancel();
+        let is_gone = async {
+            while TcpStream::connect(self.peer).await.is_ok() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(TIMEOUT, is_gone).await.unwrap();
+    }
+
+    async fn ready(&self) {
         let ready = async {
-            while !host.is_ready() {
+            while !self.is_ready() {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         };
         timeout(TIMEOUT, ready).await.unwrap();
-        host
     }
 
     /// Starts a gateway whose store is empty.
     pub async fn start_empty() -> Self {
-        Self::run(None, Vec::new()).await
+        let options = Options::parse(SETTINGS).unwrap();
+        Self::run(options, None, BTreeMap::new()).await
     }
 
-    async fn run(kind: Option<Kind>, listed: Vec<(&'static str, SocketAddr)>) -> Self {
+    async fn run(
+        mut options: Options,
+        kind: Option<Kind>,
+        listed: BTreeMap<String, Listed>,
+    ) -> Self {
         let store = Arc::new(Store::default());
-        let mut options = Options::parse(SETTINGS).unwrap();
-        // Any free port, since there are no other hosts.
-        options.gateway.gossip_port = 0;
-        let source = source(kind, listed, &store);
-        let random = StdRng::seed_from_u64(1);
+        *lock(&store.upstreams) = listed;
+        if options.peer.seeds.is_empty() {
+            // Any free port, since there are no other hosts.
+            options.gateway.gossip_port = 0;
+        }
+        let source = source(kind, &store);
+        // The identifiers of hosts that know each other differ.
+        let seed = match options.host.caller.ip() {
+            IpAddr::V4(address) => u64::from(u32::from(address)),
+            IpAddr::V6(_) => 1,
+        };
+        let random = StdRng::seed_from_u64(seed);
         let state = Arc::new(State::new(options, names(), source, random));
         let addresses = serve::start(&state).await.unwrap();
         Self {
@@ -153,10 +215,39 @@
 
     /// Revokes all keys, and waits until the gateway has received the change.
     pub async fn revoke_keys(&self) {
-        self.store.is_revoked.store(true, Ordering::Relaxed);
+        let without_keys = Some(Bytes::from_static(b"without keys"));
+        self.publish([("table".to_owned(), without_keys)]).await;
+    }
+
+    /// Replaces all upstreams in the store, and waits until the gateway has received the
+    /// change.
+    pub async fn replace_upstreams(&self, upstreams: &[&Upstream]) {
+        let new = listed(upstreams);
+        let old = std::mem::replace(&mut *lock(&self.store.upstreams), new.clone());
+        let deleted = old.into_keys().filter(|key| !new.contains_key(key));
+        let deleted = deleted.map(|key| (key, None));
+        let added = new.keys().map(|key| (key.clone(), Some(Bytes::new())));
+        self.publish(added.chain(deleted)).await;
+    }
+
+    /// Publishes changes of the store's items, and waits until the gateway has received
+    /// them.
+    async fn publish(&self, items: impl IntoIterator<Item = (String, Option<Bytes>)>) {
+        let revision = {
+            let mut changes = lock(&self.store.changes);
+            for (key, value) in items {
+                let revision = last_revision(&changes) + 1;
+                changes.push(Event {
+                    key,
+                    value,
+                    revision,
+                });
+            }
+            last_revision(&changes)
+        };
         self.store.changed.notify_waiters();
         let received = async {
-            while lock(&self.state.mirror).revision() < REVOKED_REVISION {
+            while lock(&self.state.mirror).revision() < revision {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         };
@@ -203,13 +294,25 @@
     ids.map(|id| Segment { id, tokens: 1_000 }).collect()
 }
 
-fn source(
-    kind: Option<Kind>,
-    listed: Vec<(&'static str, SocketAddr)>,
-    store: &Arc<Store>,
-) -> Source {
+/// Returns the first three bytes of loopback addresses, and a port that is free on one of
+/// them. Concurrent tests use different networks.
+fn free_network() -> ([u8; 3], u16) {
+    static NETWORKS: AtomicU8 = AtomicU8::new(1);
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let network = [
+        127,
+        low.max(1),
+        high ^ NETWORKS.fetch_add(1, Ordering::Relaxed),
+    ];
+    let [a, b, c] = network;
+    let socket = UdpSocket::bind((Ipv4Addr::new(a, b, c, 1), 0)).unwrap();
+    (network, socket.local_addr().unwrap().port())
+}
+
+fn source(kind: Option<Kind>, store: &Arc<Store>) -> Source {
     let table = kind.map(|_| ("table".to_owned(), item()));
-    let upstreams = listed.iter().map(|(id, _)| (format!("u/{id}"), item()));
+    let upstreams = lock(&store.upstreams).clone().into_keys();
+    let upstreams = upstreams.map(|key| (key, item()));
     let items: BTreeMap<String, Item> = table.into_iter().chain(upstreams).collect();
     Source {
         list: Box::new({
@@ -217,7 +320,7 @@
             move || {
                 let snapshot = Snapshot {
                     items: items.clone(),
-                    revision: 1,
+                    revision: FIRST_REVISION,
                 };
                 let store = store.clone();
                 Box::pin(async move {
@@ -238,20 +341,16 @@
                 })
             }
         }),
-        decode: Box::new(move |key, value| {
-            let upstream = key.strip_prefix("u/");
-            let entry = match (upstream, kind) {
-                (Some(id), _) => {
-                    let found = listed.iter().find(|(name, _)| *name == id);
-                    found.map(|(id, address)| Entry::Upstream(upstream_entry(id, *address)))
-                }
-                (None, Some(kind)) => {
+        decode: Box::new({
+            let store = store.clone();
+            move |key, value| {
+                let upstream = lock(&store.upstreams).get(key).cloned();
+                let table = kind.map(|kind| {
                     let keys = value.is_empty().then_some("k1");
-                    Some(Entry::Table(Box::new(route_table(kind, keys))))
-                }
-                (None, None) => None,
-            };
-            Ok(entry)
+                    Entry::Table(Box::new(route_table(kind, keys)))
+                });
+                Ok(upstream.map(Entry::Upstream).or(table))
+            }
         }),
         cached_segments: Box::new({
             let store = store.clone();
@@ -263,20 +362,16 @@
     }
 }
 
-fn delta(store: &Store, revision: u64) -> Delta {
-    match store.is_revoked.load(Ordering::Relaxed) && revision < REVOKED_REVISION {
-        true => Delta {
-            events: vec![Event {
-                key: "table".to_owned(),
-                value: Some(Bytes::from_static(b"without keys")),
-                revision: REVOKED_REVISION,
-            }],
-            revision: REVOKED_REVISION,
-        },
-        false => Delta {
-            events: Vec::new(),
-            revision,
-        },
+fn last_revision(changes: &[Event]) -> u64 {
+    changes.last().map_or(FIRST_REVISION, |it| it.revision)
+}
+
+fn delta(store: &Store, after: u64) -> Delta {
+    let changes = lock(&store.changes);
+    let events = changes.iter().filter(|event| event.revision > after);
+    Delta {
+        events: events.cloned().collect(),
+        revision: last_revision(&changes),
     }
 }
 
@@ -294,18 +389,23 @@
     }
 }
 
-fn upstream_entry(id: &str, address: SocketAddr) -> Listed {
-    Listed {
-        id: id.into(),
-        service: "desk".into(),
-        version: "v1".into(),
-        address,
-        zone: "z1".into(),
-        slots: 6,
-        is_draining: false,
-        cold_left: Duration::ZERO,
-        started_ms: None,
-    }
+/// Returns the store's entries of some upstreams, by key.
+fn listed(upstreams: &[&Upstream]) -> BTreeMap<String, Listed> {
+    let entries = upstreams.iter().map(|upstream| {
+        let entry = Listed {
+            id: upstream.id.into(),
+            service: "desk".into(),
+            version: upstream.version.into(),
+            address: upstream.address,
+            zone: "z1".into(),
+            slots: 6,
+            is_draining: false,
+            cold_left: Duration::ZERO,
+            started_ms: None,
+        };
+        (format!("u/{}", upstream.id), entry)
+    });
+    entries.collect()
 }
 
 fn route_table(kind: Kind, key: Option<&str>) -> Table {
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod truncation;
 mod upstream;
+mod versions;
 
 use std::time::Duration;
 
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -101,6 +101,8 @@
     pub id: &'static str,
     /// Address that it listens on.
     pub address: SocketAddr,
+    /// Version of its software.
+    pub version: &'static str,
     shared: Arc<Shared>,
     /// A socket that is bound but doesn't listen.
     reserved: Option<TcpSocket>,
@@ -137,6 +139,11 @@
         upstream
     }
 
+    /// Sets the version of its software.
+    pub fn with_version(self, version: &'static str) -> Self {
+        Self { version, ..self }
+    }
+
     /// Returns an upstream that refuses connections. It keeps its port, which another
     /// test's upstream could get otherwise.
     pub async fn refusing(id: &'static str) -> Self {
@@ -151,6 +158,7 @@
         Self {
             id,
             address,
+            version: "v1",
             reserved: None,
             shared: Arc::new(Shared {
                 requests: Mutex::default(),
@@ -167,6 +175,11 @@
         self.shared.requests.lock().unwrap().clone()
     }
 
+    /// Removes the received requests.
+    pub fn forget_requests(&self) {
+        self.shared.requests.lock().unwrap().clear();
+    }
+
     /// Skips the reaction to the next request.
     pub fn skip_step(&self) {
         self.shared.number.fetch_add(1, Ordering::Relaxed);
--- /dev/null
+++ b/tests/gateway_path/versions.rs
@@ -0,0 +1,244 @@
+//! Streams of a service whose upstreams run several versions.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use masticmoor::gateway::table::Kind;
+use masticmoor::outcome::Outcome;
+use tokio::time::Instant;
+
+use crate::caller;
+use crate::caller::Reply;
+use crate::host::Host;
+use crate::outcome;
+use crate::runs;
+use crate::upstream;
+use crate::upstream::Step;
+use crate::upstream::Upstream;
+
+/// Maximum time until a stream is refused whose beginning no host knows.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Number of the event after which the first response of each upstream breaks off.
+const LAST: u64 = 4;
+
+/// Returns upstreams whose streams end in the middle of the event after [`LAST`].
+async fn truncating(versions: &[(&'static str, &'static str)]) -> Vec<Upstream> {
+    let mut upstreams = Vec::new();
+    for (id, version) in versions {
+        let step = |_| Step::Stream {
+            from: 0,
+            to: LAST + 1,
+            truncated: true,
+        };
+        upstreams.push(Upstream::start(id, step).await.with_version(version));
+    }
+    upstreams
+}
+
+/// Sets whether resumed streams are complete.
+fn complete_resumed(upstreams: &[Upstream], is_complete: bool) {
+    for upstream in upstreams {
+        upstream.set_resumed_to(if is_complete { 10 } else { 0 });
+    }
+}
+
+fn forget_requests(upstreams: &[Upstream]) {
+    for upstream in upstreams {
+        upstream.forget_requests();
+    }
+}
+
+/// Returns the versions of the upstreams that received requests.
+fn used_versions(upstreams: &[Upstream]) -> BTreeSet<&'static str> {
+    let used = upstreams.iter().filter(|it| !it.requests().is_empty());
+    used.map(|it| it.version).collect()
+}
+
+/// Sends the request that resumes the stream that attempt `origin` began.
+async fn resume(host: &Host, attempt: &str, origin: &str) -> Reply {
+    let last = LAST.to_string();
+    let headers = [("x-last", last.as_str()), ("x-origin", origin)];
+    caller::send(host.caller, attempt, &headers).await
+}
+
+#[tokio::test]
+async fn a_truncated_stream_does_not_continue_at_another_version() {
+    let upstreams = truncating(&[("u1", "v1"), ("u2", "v2")]).await;
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    let host = Host::start(Kind::ResumableStream, &all).await;
+    let sent = Instant::now();
+    let reply = caller::send(host.caller, "a1", &[]).await;
+    assert!(!reply.is_complete);
+    assert_eq!(reply.body, upstream::events(0, LAST + 1));
+    assert_eq!(used_versions(&upstreams).len(), 1);
+    assert!(sent.elapsed() < REFUSAL_TIMEOUT);
+}
+
+#[tokio::test]
+async fn a_truncated_stream_continues_at_the_version_that_began_it() {
+    let versions = [("u1", "v1"), ("u2", "v2"), ("u3", "v1"), ("u4", "v2")];
+    let upstreams = truncating(&versions).await;
+    complete_resumed(&upstreams, true);
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    for prompt in ["1,2", "3,4", "5,6", "7,8", "9,10", "11,12"] {
+        let host = Host::start(Kind::ResumableStream, &all).await;
+        let reply = caller::send(host.caller, "a1", &[("x-parts", prompt)]).await;
+        assert!(reply.is_complete, "{prompt}: {}", reply.text());
+        assert_eq!(reply.body, upstream::events(0, 10));
+        assert_eq!(used_versions(&upstreams).len(), 1, "{prompt}");
+        forget_requests(&upstreams);
+    }
+}
+
+#[tokio::test]
+async fn a_slow_stream_does_not_move_to_another_version() {
+    let one = Upstream::start("u1", |_| Step::Stall { at: 3, to: 6 }).await;
+    let two = Upstream::start("u2", |_| Step::Stall { at: 3, to: 6 }).await;
+    let two = two.with_version("v2");
+    let host = Host::start(Kind::ResumableStream, &[&one, &two]).await;
+    for upstream in [&one, &two] {
+        upstream.set_resumed_to(6);
+    }
+    let reply = caller::send(host.caller, "a1", &[]).await;
+    assert!(reply.is_complete);
+    assert_eq!(reply.body, upstream::events(0, 6));
+    assert_eq!(runs(&[&one, &two]), 1);
+}
+
+#[tokio::test]
+async fn a_response_without_events_is_replaced_by_one_of_another_version() {
+    let empty = |_| Step::Stream {
+        from: 0,
+        to: 0,
+        truncated: true,
+    };
+    let complete = |_| Step::Stream {
+        from: 0,
+        to: 3,
+        truncated: false,
+    };
+    let one = Upstream::start("u1", empty).await;
+    let two = Upstream::start("u2", complete).await.with_version("v2");
+    let host = Host::start(Kind::ResumableStream, &[&one, &two]).await;
+    for prompt in ["1,2", "3,4", "5,6", "7,8", "9,10"] {
+        let reply = caller::send(host.caller, "a1", &[("x-parts", prompt)]).await;
+        assert!(reply.is_complete);
+        assert_eq!(reply.body, upstream::events(0, 3));
+        assert_eq!(reply.header("x-receipt"), Some("u2"), "{prompt}");
+    }
+    assert!(runs(&[&one]) > 0);
+}
+
+#[tokio::test]
+async fn a_stream_that_a_caller_resumes_continues_at_the_version_that_began_it() {
+    for origin in ["a1", "a2", "a3", "a4", "a5", "a6"] {
+        let upstreams = truncating(&[("u1", "v1"), ("u2", "v2")]).await;
+        let all: Vec<&Upstream> = upstreams.iter().collect();
+        let host = Host::start(Kind::ResumableStream, &all).await;
+        // Differs from the prompt of the request that resumes the stream.
+        let reply = caller::send(host.caller, origin, &[("x-parts", "1,2")]).await;
+        assert_eq!(reply.body, upstream::events(0, LAST + 1), "{origin}");
+        complete_resumed(&upstreams, true);
+        let reply = resume(&host, "next", origin).await;
+        assert!(reply.is_complete, "{origin}: {}", reply.text());
+        assert_eq!(reply.body, upstream::events(LAST + 1, 10), "{origin}");
+        assert_eq!(used_versions(&upstreams).len(), 1, "{origin}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_of_another_host_continues_at_the_version_that_began_it() {
+    let upstreams = truncating(&[("u1", "v1"), ("u2", "v2")]).await;
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    let fleet = Host::start_fleet(3, Kind::ResumableStream, &all).await;
+    for (number, begins) in fleet.iter().enumerate() {
+        for (other, continues) in fleet.iter().enumerate() {
+            let origin = format!("a{number}-{other}");
+            complete_resumed(&upstreams, false);
+            let reply = caller::send(begins.caller, &origin, &[]).await;
+            assert_eq!(reply.body, upstream::events(0, LAST + 1), "{origin}");
+            complete_resumed(&upstreams, true);
+            let reply = resume(continues, &format!("next-{origin}"), &origin).await;
+            assert!(reply.is_complete, "{origin}: {}", reply.text());
+            assert_eq!(used_versions(&upstreams).len(), 1, "{origin}");
+            forget_requests(&upstreams);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_stream_of_a_killed_host_continues_at_the_version_that_began_it() {
+    let upstreams = truncating(&[("u1", "v1"), ("u2", "v2")]).await;
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    let fleet = Host::start_fleet(4, Kind::ResumableStream, &all).await;
+    let origins = ["a1", "a2", "a3", "a4"];
+    let mut begun = Vec::new();
+    for origin in origins {
+        let reply = caller::send(fleet[0].caller, origin, &[("x-parts", origin)]).await;
+        assert_eq!(reply.body, upstream::events(0, LAST + 1), "{origin}");
+        begun.push(used_versions(&upstreams));
+        forget_requests(&upstreams);
+    }
+    // The last callers get their first event some time before they lose the host.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet[0].kill().await;
+    complete_resumed(&upstreams, true);
+    for (origin, versions) in origins.into_iter().zip(begun) {
+        for (number, host) in fleet.iter().enumerate().skip(1) {
+            let reply = resume(host, &format!("next{number}-{origin}"), origin).await;
+            assert!(reply.is_complete, "{origin}, {number}: {}", reply.text());
+            assert_eq!(used_versions(&upstreams), versions, "{origin}, {number}");
+            forget_requests(&upstreams);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_stream_whose_beginning_no_host_knows_is_refused_at_once() {
+    let upstreams = truncating(&[("u1", "v1"), ("u2", "v2")]).await;
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    complete_resumed(&upstreams, true);
+    let fleet = Host::start_fleet(2, Kind::ResumableStream, &all).await;
+    let last = LAST.to_string();
+    let unknown = [("x-last", last.as_str()), ("x-origin", "lost")];
+    let unnamed = [("x-last", last.as_str())];
+    for headers in [&unknown[..], &unnamed[..]] {
+        let sent = Instant::now();
+        let reply = caller::send(fleet[1].caller, "next", headers).await;
+        assert_eq!(reply.status, 503);
+        assert_eq!(outcome(&reply), Outcome::NotRun);
+        assert!(reply.header("retry-after").is_some());
+        assert!(sent.elapsed() < REFUSAL_TIMEOUT);
+    }
+    assert_eq!(runs(&all), 0);
+}
+
+#[tokio::test]
+async fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let upstreams = truncating(&[("u1", "v1")]).await;
+    let host = Host::start(Kind::ResumableStream, &[&upstreams[0]]).await;
+    let reply = caller::send(host.caller, "a1", &[]).await;
+    assert_eq!(reply.body, upstream::events(0, LAST + 1));
+    let next = truncating(&[("u2", "v2")]).await;
+    complete_resumed(&next, true);
+    host.replace_upstreams(&[&next[0]]).await;
+    let sent = Instant::now();
+    let reply = resume(&host, "next", "a1").await;
+    assert_eq!(reply.status, 503);
+    assert_eq!(outcome(&reply), Outcome::NotRun);
+    assert!(sent.elapsed() < REFUSAL_TIMEOUT);
+    assert_eq!(runs(&[&next[0]]), 0);
+}
+
+#[tokio::test]
+async fn a_stream_without_a_known_beginning_continues_if_there_is_one_version() {
+    let upstreams = truncating(&[("u1", "v1"), ("u2", "v1")]).await;
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    complete_resumed(&upstreams, true);
+    let host = Host::start(Kind::ResumableStream, &all).await;
+    let last = LAST.to_string();
+    let reply = caller::send(host.caller, "next", &[("x-last", last.as_str())]).await;
+    assert!(reply.is_complete);
+    assert_eq!(reply.body, upstream::events(LAST + 1, 10));
+}
