Continue a stream only at the version that began it

Cause: hosts took the upstreams of a service for interchangeable. A stream was resumed wherever load and health allowed, and a host that a caller came back to knew nothing of the stream.

Change: a stream is bound to the version of the upstream that sends its first event, also when it is moved from a slow upstream. The host tells two others which version that is, by the caller's attempt; a host that doesn't know asks those that may have been told. If nobody knows, only a service that has had one version for three of the route's time limits goes on; else the caller is refused at once as not run. Before its first event a response may come from any version, and has the headers of the upstream that sends the events; until now it had those of the first. An upstream whose item shows another version counts as restarted.

Datagrams have format 4, as they hold one more message.

Unit tests: any host of fleets from 3 to 378 hosts asks one that was told, also when the zone of the host that began the stream is lost.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -69,6 +69,20 @@
     rejected: u32,
     /// Framing of the last response that began.
     pub framing: Option<Framing>,
+    /// Version of the upstream that sent the events which the caller has. No other
+    /// version may continue the stream.
+    pub version: Option<ident::Version>,
+}
+
+impl History {
+    /// Returns the history of a request that wasn't sent yet, whose stream continues at
+    /// `version` if the caller has events of it.
+    pub fn new(version: Option<ident::Version>) -> Self {
+        Self {
+            version,
+            ..Self::default()
+        }
+    }
 }
 
 /// A request sent to an upstream whose response has begun.
@@ -190,7 +204,7 @@
     }
     let mut tried = history.tried.clone();
     tried.push(upstream.clone());
-    let lease = match state.choose(job, &tried) {
+    let lease = match state.choose(job, &tried, history.version.as_ref()) {
         Selection::Selected(lease) if !tried.contains(&lease.record.upstream.id) => lease,
         Selection::Selected(_) | Selection::Wait(_) | Selection::NoUpstream => return None,
     };
@@ -280,10 +294,14 @@
     let wait_until = wait_until.min(job.deadline);
     loop {
         let changed = state.capacity_changed.notified();
-        let summary = match state.choose(job, &history.tried) {
+        let summary = match state.choose(job, &history.tried, history.version.as_ref()) {
             Selection::Selected(lease) => return Ok(lease),
             Selection::NoUpstream => {
-                return Err(abandon(history, Code::NoUpstream, RETRY_AFTER_NO_UPSTREAM));
+                let code = match &history.version {
+                    Some(_) => Code::VersionGone,
+                    None => Code::NoUpstream,
+                };
+                return Err(abandon(history, code, RETRY_AFTER_NO_UPSTREAM));
             }
             Selection::Wait(summary) => summary,
         };
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Message`] describes one host. In a large fleet, a [`Summary`] describes a whole
 //! zone to another one; the host that receives it forwards it unchanged to the hosts of
-//! its own zone. A datagram is a version byte and a MessagePack value.
+//! its own zone. [`Origins`] go to few hosts, apart from the rounds of messages. A
+//! datagram is a version byte and a MessagePack value.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -20,7 +21,7 @@
 use crate::policy::crash::Crash;
 
 /// Version of the format.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 
 /// Maximum size of a datagram that is not fragmented.
 pub const DATAGRAM_BYTES: usize = 1_400;
@@ -94,6 +95,13 @@
     pub report: Report,
 }
 
+/// Versions that began streams, for hosts at which callers may resume them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Origins {
+    /// Streams by key, each with the version that began it.
+    pub streams: Vec<(u64, ident::Version)>,
+}
+
 /// Content of a datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -101,6 +109,8 @@
     Message(Message),
     /// A shard of a zone's summary.
     Summary(Summary),
+    /// Versions that began streams.
+    Origins(Origins),
 }
 
 /// Reason why a datagram could not be decoded.
@@ -158,6 +168,24 @@
     }
 }
 
+impl Origins {
+    /// Encodes streams as datagrams that each fit, unless a single version is too long.
+    pub fn encode(self) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
+        let bytes = encode(&Datagram::Origins(self.clone()))?;
+        match self.streams.split_at(self.streams.len() / 2) {
+            (first, second) if bytes.len() > DATAGRAM_BYTES && !first.is_empty() => {
+                let mut datagrams = Vec::new();
+                for half in [first, second] {
+                    let streams = half.to_vec();
+                    datagrams.extend(Self { streams }.encode()?);
+                }
+                Ok(datagrams)
+            }
+            _ => Ok(vec![bytes]),
+        }
+    }
+}
+
 impl Summary {
     /// Returns the source of the summary's loads. They replace those that the same
     /// source reported before.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -2,8 +2,10 @@
 //!
 //! Periodically sends this host's liveness, loads, suspect upstreams, prompt placements
 //! and crash counts, and merges what other hosts send into the shared tables. The
-//! recipients of each round come from [`relay`].
+//! recipients of each round come from [`relay`]. The versions that began streams are sent
+//! at once, to the hosts that [`origin`] selects.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -21,12 +23,14 @@
 use crate::gateway::datagram;
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::Message;
+use crate::gateway::datagram::Origins;
 use crate::gateway::datagram::Placements;
 use crate::gateway::datagram::Report;
 use crate::gateway::datagram::Sender;
 use crate::gateway::datagram::Summary;
 use crate::gateway::health::Scope;
 use crate::gateway::load;
+use crate::gateway::origin;
 use crate::gateway::peers::Selection;
 use crate::gateway::relay;
 use crate::gateway::relay::LocalHost;
@@ -73,6 +77,7 @@
                 earliest = Instant::now() + urgent_interval(&sent);
             }
             () = state.gossip_urgent.notified() => next = next.min(earliest),
+            () = state.origin_recorded.notified() => send_origins(&state, &socket).await,
         }
     }
 }
@@ -144,6 +149,33 @@
     Sent { count, is_relayed }
 }
 
+/// Tells other hosts which versions began streams at this host.
+async fn send_origins(state: &State, socket: &UdpSocket) {
+    let streams = lock(&state.origins).take_updates();
+    let mut recipients: BTreeMap<Ipv4Addr, Origins> = BTreeMap::new();
+    {
+        let now = Instant::now();
+        let peers = lock(&state.peers);
+        for (key, version) in streams {
+            let zone = &state.options.host.zone;
+            for host in origin::witnesses(key, zone, peers.addressable(now)) {
+                let origins = recipients.entry(host).or_default();
+                origins.streams.push((key, version.clone()));
+            }
+        }
+    }
+    for (host, origins) in recipients {
+        match origins.encode() {
+            Ok(datagrams) => {
+                for bytes in datagrams {
+                    send_to(state, socket, host, &bytes).await;
+                }
+            }
+            Err(error) => warn!(%error, "peers: can't encode the versions of streams"),
+        }
+    }
+}
+
 /// Result of a round.
 struct Sent {
     /// Number of recipients.
@@ -302,6 +334,14 @@
             merge(state, address, &message.sender, source, message.report);
             false
         }
+        Datagram::Origins(origins) => {
+            let now = Instant::now();
+            let mut table = lock(&state.origins);
+            for (key, version) in &origins.streams {
+                table.record(now, *key, version);
+            }
+            false
+        }
         Datagram::Summary(summary) if summary.sender.zone == *zone => false,
         Datagram::Summary(summary) => {
             let is_direct = summary.address == address;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::gateway::resume::Evidence;
 use crate::gateway::table::Kind;
 use crate::lock::lock;
 use crate::outcome::Code;
@@ -35,6 +36,12 @@
     kind: &'static str,
 }
 
+/// Label set with how the version that began a stream was found.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByEvidence {
+    evidence: &'static str,
+}
+
 type Histograms = Family<ByKind, Histogram, fn() -> Histogram>;
 
 /// The metrics and their registry.
@@ -46,6 +53,7 @@
     longest_gap_seconds: Histograms,
     refused: Family<ByCode, Counter>,
     lost: Family<ByCode, Counter>,
+    resumed: Family<ByEvidence, Counter>,
     store_reads: Family<ByCode, Counter>,
     upstreams: Gauge,
     hosts: Gauge,
@@ -77,6 +85,7 @@
             longest_gap_seconds: histograms(),
             refused: Family::default(),
             lost: Family::default(),
+            resumed: Family::default(),
             store_reads: Family::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
@@ -106,6 +115,11 @@
             "Requests lost after they were sent",
             it.lost.clone(),
         );
+        registry.register(
+            "resumed",
+            "Streams that callers resumed, by how the version that began them was found",
+            it.resumed.clone(),
+        );
         registry.register(
             "store_reads",
             "Calls to the platform's store",
@@ -154,6 +168,12 @@
         self.lost.get_or_create(&by_code(code)).inc();
     }
 
+    /// Counts a stream that a caller resumes.
+    pub fn resumed(&self, evidence: Evidence) {
+        let evidence = evidence.into();
+        self.resumed.get_or_create(&ByEvidence { evidence }).inc();
+    }
+
     /// Counts a call to the store by its result.
     pub fn store_read(&self, result: &'static str) {
         self.store_reads
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -1,7 +1,7 @@
 //! HTTP endpoints for the load balancer, for operators and for other hosts.
 //!
-//! Serves readiness, metrics, the store's items for followers, and prompt placements
-//! for hosts that start.
+//! Serves readiness, metrics, the store's items for followers, prompt placements for
+//! hosts that start, and the versions that began streams.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -20,6 +20,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -28,6 +29,7 @@
 use crate::boot;
 use crate::gateway::connection::set_tcp_options;
 use crate::gateway::metrics::Gauges;
+use crate::gateway::resume;
 use crate::gateway::state::State;
 use crate::gateway::warmup;
 use crate::lock::lock;
@@ -35,7 +37,7 @@
 use crate::mirror::wire;
 use crate::mirror::wire::Content;
 
-/// Maximum size of a follower's request.
+/// Maximum size of another host's request.
 const MAX_REQUEST_BYTES: usize = 1_024;
 
 /// Maximum time that a follower waits for a change.
@@ -91,6 +93,7 @@
         },
         (&Method::POST, wire::PATH) => serve_follower(state, request).await,
         (&Method::POST, warmup::SNAPSHOT_PATH) => serve_placements(state),
+        (&Method::POST, resume::PATH) => serve_origin(state, request).await,
         _ => respond(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
@@ -110,13 +113,9 @@
 /// is over.
 async fn serve_follower(state: &Arc<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let started = Instant::now();
-    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES)
-        .collect()
-        .await;
-    let request = match body.map(|body| rmp_serde::from_slice::<wire::Request>(&body.to_bytes())) {
-        Ok(Ok(request)) => request,
-        Ok(Err(error)) => return respond(StatusCode::BAD_REQUEST, error.to_string()),
-        Err(error) => return respond(StatusCode::BAD_REQUEST, error.to_string()),
+    let request: wire::Request = match decode(request).await {
+        Ok(request) => request,
+        Err(response) => return response,
     };
     let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
     loop {
@@ -148,6 +147,28 @@
     respond_encoded(&reply)
 }
 
+/// Returns which version began a stream, if this host knows.
+async fn serve_origin(state: &State, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let key: u64 = match decode(request).await {
+        Ok(key) => key,
+        Err(response) => return response,
+    };
+    let origins = lock(&state.origins);
+    respond_encoded(&origins.version(Instant::now(), key))
+}
+
+/// Decodes another host's request. Fails with the response to an invalid one.
+async fn decode<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Response<Full<Bytes>>> {
+    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES);
+    match body.collect().await {
+        Ok(body) => rmp_serde::from_slice(&body.to_bytes())
+            .map_err(|error| respond(StatusCode::BAD_REQUEST, error.to_string())),
+        Err(error) => Err(respond(StatusCode::BAD_REQUEST, error.to_string())),
+    }
+}
+
 /// Returns which upstreams hold which prompts, for a host that starts.
 fn serve_placements(state: &State) -> Response<Full<Bytes>> {
     respond_encoded(&lock(&state.prefix_cache).snapshot(Instant::now()))
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,6 +18,11 @@
 /// Time without a message after which a host no longer counts as live.
 pub const LIVE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after which a host that sends no messages to this one no longer counts as live
+/// unless another host has received one. Zones of a large fleet list each of their hosts
+/// to others that often.
+const SEEN_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Time without a message after which a host no longer shares the fleet's budgets. It
 /// is long because hosts that are partitioned off go on spending their share.
 const SHARE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -198,6 +203,20 @@
         })
     }
 
+    /// Returns the hosts that may be sent requests: the live ones and, in a large fleet,
+    /// hosts of other zones, which send no messages to this one but are seen by others.
+    pub fn addressable(&self, now: Instant) -> impl Iterator<Item = (Ipv4Addr, &ident::Zone)> {
+        let hosts = self.peers.iter().filter(move |(_, peer)| {
+            let silent = |since: Instant| now.duration_since(since);
+            let is_up = match peer.last_received.map(silent) {
+                Some(silent) if silent < SEEN_TIMEOUT => silent < LIVE_TIMEOUT,
+                Some(_) | None => silent(peer.last_seen) < SEEN_TIMEOUT,
+            };
+            is_up && !peer.is_leaving
+        });
+        hosts.map(|(address, peer)| (*address, &peer.zone))
+    }
+
     /// Returns the host to copy the store from: one with a revision later than
     /// `revision`, or whose copy is younger than `max_age`. Hosts of `zone` are
     /// preferred, as full copies are large when hundreds of hosts start.
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -363,7 +363,7 @@
         Ok(None) => {}
         Err(error) => {
             warn!(key, revision = event.revision, %error, "view: can't decode an item");
-            view.invalidate(key);
+            view.invalidate(now, key);
         }
     }
 }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -37,14 +37,20 @@
 
 impl State {
     /// Chooses an upstream for a request, preferring those that are not in `tried`,
-    /// and counts the request there.
-    pub fn choose(self: &Arc<Self>, job: &Job, tried: &[ident::Upstream]) -> Selection {
+    /// and counts the request there. A stream in progress continues at `version` only.
+    pub fn choose(
+        self: &Arc<Self>,
+        job: &Job,
+        tried: &[ident::Upstream],
+        version: Option<&ident::Version>,
+    ) -> Selection {
         let now = Instant::now();
         let boot_now = boot::Instant::now();
         let view = self.view();
         let usable: Vec<&Arc<Record>> = view
             .usable(boot_now)
             .filter(|record| record.upstream.service == job.service)
+            .filter(|record| version.is_none_or(|it| record.upstream.version == *it))
             .collect();
         let cold_limit = view.route_table().and_then(|table| {
             let service = table.service(&job.service)?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,8 +12,9 @@
 //! 7. `prefix_cache`: upstreams that hold prompts
 //! 8. `retry_budget`: the retry budget
 //! 9. `crashes`: requests that crashed upstreams
-//! 10. `live_options`: the gateway settings in effect
-//! 11. `meter`: metrics, and the locks of the connection pool
+//! 10. `origins`: versions that began streams
+//! 11. `live_options`: the gateway settings in effect
+//! 12. `meter`: metrics, and the locks of the connection pool
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -34,6 +35,7 @@
 use crate::gateway::health;
 use crate::gateway::load;
 use crate::gateway::metrics;
+use crate::gateway::origin;
 use crate::gateway::outage;
 use crate::gateway::peers;
 use crate::gateway::prefix_cache;
@@ -88,6 +90,8 @@
     pub retry_budget: Mutex<retry_budget::Table>,
     /// Requests that crashed upstreams.
     pub crashes: Mutex<crash::Table>,
+    /// Versions that began streams.
+    pub origins: Mutex<origin::Table>,
     /// Counters, gauges and histograms.
     pub meter: metrics::Meter,
     /// Connections to upstreams.
@@ -102,6 +106,8 @@
     pub store_behind: Notify,
     /// Notified when a gossip message should be sent without delay.
     pub gossip_urgent: Notify,
+    /// Notified when a version that began a stream is to be told to other hosts.
+    pub origin_recorded: Notify,
     /// Callers' requests in flight.
     pub active: AtomicUsize,
     /// Whether this host knows which upstreams hold which prompts.
@@ -154,6 +160,7 @@
                 retention: CRASH_RETENTION,
                 max_requests: MAX_TRACKED_REQUESTS,
             })),
+            origins: Mutex::default(),
             meter: metrics::Meter::new(),
             pool: connection::Pool::default(),
             outage: Mutex::default(),
@@ -161,6 +168,7 @@
             store_advanced: Notify::new(),
             store_behind: Notify::new(),
             gossip_urgent: Notify::new(),
+            origin_recorded: Notify::new(),
             active: AtomicUsize::new(0),
             is_informed: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,7 +1,8 @@
 //! Responses that are streams of server-sent events.
 //!
 //! Complete events are forwarded as they arrive. When an upstream is lost or slow, a
-//! resumable stream continues at another upstream after the last forwarded event.
+//! resumable stream continues after the last forwarded event at another upstream of the
+//! version that began it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 use http::Response;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -28,6 +30,7 @@
 use crate::gateway::forward;
 use crate::gateway::health::Observation;
 use crate::gateway::job::Job;
+use crate::gateway::resume;
 use crate::gateway::selection::Lease;
 use crate::gateway::state::State;
 use crate::ident;
@@ -59,6 +62,8 @@
     state: Arc<State>,
     job: Arc<Job>,
     history: History,
+    /// Head of the caller's response.
+    head: Parts,
     /// The upstream's response; `None` only while the stream moves to another upstream.
     exchange: Option<Exchange>,
     splitter: Splitter,
@@ -88,7 +93,7 @@
 /// The caller's response begins with the first event, so that a stream that fails
 /// before it can still be refused.
 pub async fn run(state: &Arc<State>, job: Arc<Job>) -> Result<Response<Payload>, Refusal> {
-    let mut history = History::default();
+    let mut history = History::new(resume::version(state, &job).await?);
     let mut next = None;
     let exchange = loop {
         let exchange = attempt::send(state, &job, &mut history, next.take(), None).await?;
@@ -117,9 +122,9 @@
         history.tried.push(upstream);
         next = Some(lease);
     };
-    let parts = exchange.parts.clone();
     let mut events = Stream {
         state: state.clone(),
+        head: exchange.parts.clone(),
         last_event: job.last_event,
         job,
         history,
@@ -139,6 +144,7 @@
         Some(Err(Truncated(code))) => return Err(Refusal::unknown(code)),
         None => Bytes::new(),
     };
+    let head = events.head.clone();
     let rest = stream::unfold(events, |mut events| async move {
         let next = events.next().await?;
         if next.is_err() {
@@ -150,7 +156,7 @@
     let chunks = stream::once(async move { Ok(first) }).chain(rest);
     let frames = chunks.map(|chunk| chunk.map(Frame::data));
     Ok(forward::response_with_body(
-        &parts,
+        &head,
         StreamBody::new(frames).boxed_unsync(),
     ))
 }
@@ -221,13 +227,14 @@
             self.events += 1;
         }
         if !events.is_empty() {
+            self.record_version();
             let now = Instant::now();
-            match self.first_event_after.is_zero() {
-                true => self.first_event_after = now.duration_since(self.job.arrived),
-                false => {
+            match self.has_begun() {
+                true => {
                     let gap = now.duration_since(self.forwarded_at);
                     self.longest_gap = self.longest_gap.max(gap);
                 }
+                false => self.first_event_after = now.duration_since(self.job.arrived),
             }
             self.forwarded_at = now;
             self.limit_factor = 1;
@@ -235,6 +242,22 @@
         events.freeze()
     }
 
+    /// Returns whether an event of this response was forwarded.
+    fn has_begun(&self) -> bool {
+        !self.first_event_after.is_zero()
+    }
+
+    /// Binds the stream to the version of the upstream that sends its first events.
+    fn record_version(&mut self) {
+        if let Some(exchange) = &self.exchange
+            && !self.has_begun()
+        {
+            let version = &exchange.lease.record.upstream.version;
+            resume::record(&self.state, &self.job, version);
+            self.history.version = Some(version.clone());
+        }
+    }
+
     /// Returns whether a stream whose body has ended is complete. An upstream that fails
     /// may end the body in order, but inside an event or before the first one.
     fn is_whole(&self) -> bool {
@@ -339,6 +362,10 @@
                 info!(id = self.job.id, from = %upstream,
                     to = %exchange.lease.record.upstream.id, last_event = self.last_event,
                     "request: resumed");
+                if !self.has_begun() {
+                    // Nothing of the previous response was forwarded.
+                    self.head = exchange.parts.clone();
+                }
                 self.exchange = Some(exchange);
                 Ok(())
             }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,6 +1,7 @@
 //! The decoded content of the store: the route table, upstreams and evacuated zones.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,12 +9,17 @@
 use crate::gateway::source::Entry;
 use crate::gateway::table::Table;
 use crate::gateway::upstream::Record;
+use crate::gateway::upstream::Upstream;
 use crate::ident;
 
 /// How long after an outage of the store an upstream's expired entry may be restored.
 /// The platform states about two seconds.
 pub const RESTORE_WINDOW: Duration = Duration::from_millis(2_300);
 
+/// How long versions of a service that are no longer listed are remembered, longer than
+/// any stream lasts.
+const VERSION_RETENTION: Duration = Duration::from_secs(600);
+
 /// The decoded items, by their keys in the store.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -21,6 +27,11 @@
     table_key: Option<String>,
     upstreams: BTreeMap<String, Arc<Record>>,
     evacuated: BTreeMap<String, ident::Zone>,
+    /// When the first item was inserted.
+    started_at: Option<boot::Instant>,
+    /// When a version of a service was last listed, for versions of upstreams that were
+    /// replaced or removed.
+    past_versions: BTreeMap<(ident::Service, ident::Version), boot::Instant>,
 }
 
 impl View {
@@ -58,14 +69,44 @@
         self.upstreams.len()
     }
 
+    /// Returns the version that all upstreams of a service run, if they have run no other
+    /// one within `lookback`. `None` if this view is younger than that.
+    pub fn only_version(
+        &self,
+        now: boot::Instant,
+        service: &ident::Service,
+        lookback: Duration,
+    ) -> Option<&ident::Version> {
+        let started_at = self.started_at?;
+        if now.since(started_at) < lookback {
+            return None;
+        }
+        let past = self.past_versions.iter();
+        let past = past.filter(|((it, _), at)| it == service && now.since(**at) < lookback);
+        let past = past.map(|((_, version), _)| version);
+        let listed = self.listed(service).map(|it| &it.upstream.version);
+        let mut versions: BTreeSet<_> = listed.chain(past).collect();
+        let version = versions.pop_first()?;
+        versions.is_empty().then_some(version)
+    }
+
+    /// Records that an upstream's version was listed until now.
+    fn retire_version(&mut self, now: boot::Instant, upstream: &Upstream) {
+        let version = (upstream.service.clone(), upstream.version.clone());
+        self.past_versions
+            .retain(|_, at| now.since(*at) < VERSION_RETENTION);
+        self.past_versions.insert(version, now);
+    }
+
     /// Inserts or replaces an item. Returns the id of an upstream whose entry now shows
-    /// another start or address: state recorded for the id no longer applies.
+    /// another start, address or version: state recorded for the id no longer applies.
     pub fn insert(
         &mut self,
         now: boot::Instant,
         key: &str,
         entry: Entry,
     ) -> Option<ident::Upstream> {
+        self.started_at.get_or_insert(now);
         match entry {
             Entry::Table(table) => {
                 self.table = Some(Arc::new(*table));
@@ -79,8 +120,14 @@
                 };
                 let record = Arc::new(record);
                 let old = self.upstreams.insert(key.to_owned(), record.clone());
-                let (old, new) = (&old?.upstream, &record.upstream);
-                let is_same = old.started_ms == new.started_ms && old.address == new.address;
+                let old = old?;
+                let (old, new) = (&old.upstream, &record.upstream);
+                if old.version != new.version || old.service != new.service {
+                    self.retire_version(now, old);
+                }
+                let is_same = old.started_ms == new.started_ms
+                    && old.address == new.address
+                    && old.version == new.version;
                 return (!is_same).then(|| new.id.clone());
             }
             Entry::Evacuated(zone) => {
@@ -102,8 +149,14 @@
         restored_by: boot::Instant,
     ) -> Option<ident::Upstream> {
         self.evacuated.remove(key);
-        self.upstreams
-            .retain(|_, record| record.expires_at.is_none_or(|at| at > now));
+        let is_expired = |record: &Record| record.expires_at.is_some_and(|at| at <= now);
+        let all = std::mem::take(&mut self.upstreams);
+        let (expired, kept): (BTreeMap<_, _>, _) =
+            all.into_iter().partition(|(_, record)| is_expired(record));
+        self.upstreams = kept;
+        for record in expired.into_values() {
+            self.retire_version(now, &record.upstream);
+        }
         match self.upstreams.get_mut(key) {
             Some(record) if restored_by > now => {
                 Arc::make_mut(record).expires_at = Some(restored_by);
@@ -111,6 +164,7 @@
             }
             Some(_) => {
                 let removed = self.upstreams.remove(key)?;
+                self.retire_version(now, &removed.upstream);
                 Some(removed.upstream.id.clone())
             }
             None => None,
@@ -119,8 +173,10 @@
 
     /// Handles an item that can't be decoded: removes the upstream that was listed under
     /// its key, and leaves the route table and evacuations as they are.
-    pub fn invalidate(&mut self, key: &str) {
-        self.upstreams.remove(key);
+    pub fn invalidate(&mut self, now: boot::Instant, key: &str) {
+        if let Some(removed) = self.upstreams.remove(key) {
+            self.retire_version(now, &removed.upstream);
+        }
     }
 
     fn is_evacuated(&self, record: &Record) -> bool {
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -136,6 +136,11 @@
     KeysStale,
     /// The request crashed several upstreams.
     CrashedRepeatedly,
+    /// No host knows which version of the service began the stream that the caller
+    /// resumes.
+    OriginUnknown,
+    /// No upstream in service runs the version that began the stream.
+    VersionGone,
 }
 
 /// The refusal of a request.
@@ -218,6 +223,8 @@
             | Self::HomeUnreachable
             | Self::KeysStale
             | Self::CrashedRepeatedly
+            | Self::OriginUnknown
+            | Self::VersionGone
             | Self::Version => S::SERVICE_UNAVAILABLE,
         }
     }
