--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -50,6 +50,9 @@
 /// capacity.
 const QUEUE_FRACTION: f64 = 0.5;
 
+/// Maximum number of a prompt's segments in a log line.
+const MAX_LOGGED_SEGMENTS: usize = 16;
+
 /// Interval at which a waiting request looks for an upstream again. Needed
 /// because reports from other hosts don't wake waiting requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -69,6 +72,8 @@
     rejected: u32,
     /// Framing of the last response that began.
     pub framing: Option<Framing>,
+    /// Number of events forwarded to the caller.
+    pub events: u64,
     /// Version of the upstream that sent the events which the caller has. No other
     /// version may continue the stream.
     pub version: Option<ident::Version>,
@@ -222,7 +227,11 @@
 ) -> Result<(), Refusal> {
     let now = Instant::now();
     let framing = history.framing.map(tracing::field::display);
-    info!(id = job.id, %upstream, %code, framing, sends = history.sends, "request: lost");
+    let segments = job.segments.iter().take(MAX_LOGGED_SEGMENTS);
+    let segments = segments.map(|segment| format!("{segment:x}"));
+    let segments = segments.collect::<Vec<_>>().join(",");
+    info!(id = job.id, %upstream, %code, framing, events = history.events, segments,
+        sends = history.sends, "request: lost");
     state.meter.lost(code);
     record_observation(state, upstream, Observation::Lost);
     if matches!(code, Code::UpstreamLost | Code::AnswerCut) {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -74,8 +74,6 @@
     last_event: Option<u64>,
     /// Whether the current upstream resumed the stream, so that it may repeat events.
     is_resumed: bool,
-    /// Number of events forwarded.
-    events: u64,
     /// Factor of the time limit for the next event, raised by one each time the limit
     /// passes without another upstream to move to.
     limit_factor: u32,
@@ -132,7 +130,6 @@
         splitter: Splitter::default(),
         fault: None,
         is_resumed: false,
-        events: 0,
         limit_factor: 1,
         is_over: false,
         first_event_after: Duration::ZERO,
@@ -224,7 +221,7 @@
                 (None, _) => {}
             }
             events.extend_from_slice(&event.bytes);
-            self.events += 1;
+            self.history.events += 1;
         }
         if !events.is_empty() {
             self.record_version();
@@ -273,7 +270,7 @@
         };
         if !is_whole {
             let is_inside_event = self.splitter.position().is_inside_event();
-            info!(id = self.job.id, %framing, events = self.events, is_inside_event,
+            info!(id = self.job.id, %framing, events = self.history.events, is_inside_event,
                 "request: body ended before the stream");
         }
         is_whole
@@ -296,7 +293,7 @@
         );
         let framing = self.history.framing.map(tracing::field::display);
         info!(target: ROUTINE, id = self.job.id, kind = %self.job.route.kind, upstream = %id,
-            framing, events = self.events, sends = self.history.sends,
+            framing, events = self.history.events, sends = self.history.sends,
             first_ms = millis(self.first_event_after),
             pause_ms = millis(self.longest_gap),
             after_ms = millis(self.job.arrived.elapsed()), "request: streamed");
@@ -379,7 +376,7 @@
     fn fail(&mut self, code: Code) -> Truncated {
         self.is_over = true;
         self.state.meter.lost(code);
-        info!(id = self.job.id, %code, events = self.events, sends = self.history.sends,
+        info!(id = self.job.id, %code, events = self.history.events, sends = self.history.sends,
             after_ms = millis(self.job.arrived.elapsed()), "request: stream failed");
         Truncated(code)
     }
@@ -396,7 +393,7 @@
             .exchange
             .as_ref()
             .map_or(self.forwarded_at, |exchange| exchange.sent);
-        let limit = match self.events {
+        let limit = match self.history.events {
             0 => sent + job.route.objective * self.limit_factor,
             _ => {
                 let gap = job.route.max_event_gap.unwrap_or(DEFAULT_MAX_GAP);
