Reproduce a prompt segment that crashes engines one after another

Hypothesis 1: no request is the same twice, so none has three crashes.

Upstreams of these tests can end their process, with its connections and its listener, and start again; a second workspace has a key.

--- a/tests/gateway_path/caller.rs
+++ b/tests/gateway_path/caller.rs
@@ -15,6 +15,9 @@
 /// Body of each request.
 pub const BODY: &str = "which rows are free?";
 
+/// Path of a request.
+const PATH: &str = "/a/x";
+
 /// Value of the deadline header in milliseconds.
 pub const DEADLINE_MS: u64 = 5_000;
 
@@ -42,9 +45,9 @@
     }
 }
 
-fn request(attempt: &str, headers: &[(&str, &str)]) -> String {
+fn request(path: &str, attempt: &str, headers: &[(&str, &str)]) -> String {
     let mut text = format!(
-        "POST /a/x HTTP/1.1\r\nhost: one.example\r\nx-attempt: {attempt}\r\n\
+        "POST {path} HTTP/1.1\r\nhost: one.example\r\nx-attempt: {attempt}\r\n\
          x-deadline: {DEADLINE_MS}\r\ncontent-length: {}\r\n",
         BODY.len()
     );
@@ -59,24 +62,34 @@
 
 /// Sends a request on a connection that closes after it, and reads the response.
 pub async fn send(address: SocketAddr, attempt: &str, headers: &[(&str, &str)]) -> Reply {
+    send_to(address, PATH, attempt, headers).await
+}
+
+/// Sends a request as [`send`] does, to a path of the route.
+pub async fn send_to(
+    address: SocketAddr,
+    path: &str,
+    attempt: &str,
+    headers: &[(&str, &str)],
+) -> Reply {
     let mut all = vec![];
     if !headers.iter().any(|(name, _)| *name == "connection") {
         all.push(("connection", "close"));
     }
     all.extend_from_slice(headers);
-    exchange(address, &request(attempt, &all)).await
+    exchange(address, &request(path, attempt, &all)).await
 }
 
 /// Sends a request on a connection that may be kept alive, and reads the response.
 pub async fn send_keep_alive(address: SocketAddr, attempt: &str) -> Reply {
-    exchange(address, &request(attempt, &[])).await
+    exchange(address, &request(PATH, attempt, &[])).await
 }
 
 /// Sends a request and disconnects once a condition holds. Returns whether it did in
 /// time.
 pub async fn disconnect(address: SocketAddr, attempt: &str, when: impl Fn() -> bool) -> bool {
     let mut stream = TcpStream::connect(address).await.unwrap();
-    let text = request(attempt, &[]);
+    let text = request(PATH, attempt, &[]);
     stream.write_all(text.as_bytes()).await.unwrap();
     let result = timeout(TIMEOUT, async {
         while !when() {
@@ -90,7 +103,7 @@
 /// or the error of a connection that doesn't close in order.
 pub async fn send_http_1_0(address: SocketAddr, attempt: &str) -> io::Result<Vec<u8>> {
     let mut stream = TcpStream::connect(address).await?;
-    let text = request(attempt, &[]).replacen("HTTP/1.1", "HTTP/1.0", 1);
+    let text = request(PATH, attempt, &[]).replacen("HTTP/1.1", "HTTP/1.0", 1);
     stream.write_all(text.as_bytes()).await?;
     let mut bytes = Vec::new();
     timeout(TIMEOUT, stream.read_to_end(&mut bytes)).await??;
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -345,10 +345,8 @@
             let store = store.clone();
             move |key, value| {
                 let upstream = lock(&store.upstreams).get(key).cloned();
-                let table = kind.map(|kind| {
-                    let keys = value.is_empty().then_some("k1");
-                    Entry::Table(Box::new(route_table(kind, keys)))
-                });
+                let table =
+                    kind.map(|kind| Entry::Table(Box::new(route_table(kind, value.is_empty()))));
                 Ok(upstream.map(Entry::Upstream).or(table))
             }
         }),
@@ -408,7 +406,10 @@
     entries.collect()
 }
 
-fn route_table(kind: Kind, key: Option<&str>) -> Table {
+/// Keys and their workspaces.
+const KEYS: [(&str, &str); 2] = [("k1", "school"), ("k2", "club")];
+
+fn route_table(kind: Kind, has_keys: bool) -> Table {
     let route = table::Route {
         name: "r1".to_owned(),
         host: "one.example".to_owned(),
@@ -426,16 +427,19 @@
             weight: 1.0,
         }],
     };
-    let workspace = table::Workspace {
-        name: "school".into(),
-        priority: None,
-    };
-    let keys = vec![(workspace, key.map(str::to_owned).into_iter().collect())];
+    let keys = KEYS.map(|(key, workspace)| {
+        let workspace = table::Workspace {
+            name: workspace.into(),
+            priority: None,
+        };
+        let keys = has_keys.then(|| key.to_owned());
+        (workspace, keys.into_iter().collect())
+    });
     Table::new(
         1,
         table::Limits::default(),
         vec![route],
         Vec::new(),
-        Some(keys),
+        Some(keys.into()),
     )
 }
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -8,6 +8,7 @@
 )]
 
 mod caller;
+mod crashing_segments;
 #[path = "../truncation/cut.rs"]
 mod cut;
 #[path = "../truncation/end.rs"]
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -16,12 +16,16 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 use crate::end::End;
 
 /// Delay of slow responses, longer than the objective of the routes.
 const SLOW_DELAY: Duration = Duration::from_millis(400);
 
+/// Time after which a process that ended starts again.
+const RESTART_DELAY: Duration = Duration::from_millis(150);
+
 /// Reaction of an upstream to a request.
 #[derive(Clone, Copy, Debug)]
 pub enum Step {
@@ -41,6 +45,9 @@
     Reject,
     /// Rejects the request as if it were for another upstream.
     Misdirected,
+    /// Ends its process, and with it all connections, after the head of the response. It
+    /// refuses connections until it has started again.
+    Crash,
     /// Never responds.
     Hang,
     /// Sends a stream of events.
@@ -91,6 +98,9 @@
     /// Number after that of the last event of resumed streams; 0 if not set.
     resumed_to: AtomicU64,
     closed: Notify,
+    /// Number of times that its process ended.
+    crashes: AtomicUsize,
+    crashed: Notify,
     /// Whether the gateway reset a connection.
     was_reset: AtomicBool,
 }
@@ -123,22 +133,39 @@
         id: &'static str,
         step: impl Fn(usize) -> Step + Send + Sync + Copy + 'static,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let upstream = Self::at(id, listener.local_addr().unwrap());
+        Self::start_by_request(id, move |number, _| step(number)).await
+    }
+
+    /// Starts an upstream; `step` returns its reaction to a request with a number.
+    pub async fn start_by_request(
+        id: &'static str,
+        step: impl Fn(usize, &Request) -> Step + Send + Sync + Copy + 'static,
+    ) -> Self {
+        let mut listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let upstream = Self::at(id, address);
         let shared = upstream.shared.clone();
         tokio::spawn(async move {
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                let shared = shared.clone();
-                tokio::spawn(async move {
-                    serve(id, stream, &shared, step).await;
-                    shared.closed.notify_one();
-                });
+                accept(id, listener, &shared, step).await;
+                shared.crashes.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(RESTART_DELAY).await;
+                listener = TcpListener::bind(address).await.unwrap();
             }
         });
         upstream
     }
 
+    /// Returns how often its process has ended.
+    pub fn crashes(&self) -> usize {
+        self.shared.crashes.load(Ordering::Relaxed)
+    }
+
+    /// Ends its process.
+    pub fn crash(&self) {
+        self.shared.crashed.notify_one();
+    }
+
     /// Sets the version of its software.
     pub fn with_version(self, version: &'static str) -> Self {
         Self { version, ..self }
@@ -165,6 +192,8 @@
                 number: AtomicUsize::new(0),
                 resumed_to: AtomicU64::new(0),
                 closed: Notify::new(),
+                crashes: AtomicUsize::new(0),
+                crashed: Notify::new(),
                 was_reset: AtomicBool::new(false),
             }),
         }
@@ -201,12 +230,40 @@
     }
 }
 
-async fn serve(id: &str, mut stream: TcpStream, shared: &Shared, step: impl Fn(usize) -> Step) {
+/// Serves connections until the process ends.
+async fn accept(
+    id: &'static str,
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+    step: impl Fn(usize, &Request) -> Step + Send + Sync + Copy + 'static,
+) {
+    // Dropped, it ends the connections.
+    let mut connections = JoinSet::new();
+    loop {
+        let (stream, _) = tokio::select! {
+            accepted = listener.accept() => accepted.unwrap(),
+            () = shared.crashed.notified() => return,
+        };
+        let shared = shared.clone();
+        connections.spawn(async move {
+            serve(id, stream, &shared, step).await;
+            shared.closed.notify_one();
+        });
+    }
+}
+
+async fn serve(
+    id: &str,
+    mut stream: TcpStream,
+    shared: &Shared,
+    step: impl Fn(usize, &Request) -> Step,
+) {
     while let Some(request) = read(&mut stream).await {
         let attempt = request.header("x-attempt").unwrap_or_default().to_owned();
         let resumed = request.header("x-last").and_then(|last| last.parse().ok());
         let resumed_to = shared.resumed_to.load(Ordering::Relaxed);
         let number = shared.number.fetch_add(1, Ordering::Relaxed);
+        let reaction = step(number, &request);
         shared.requests.lock().unwrap().push(request);
         let step = match resumed {
             Some(last) if resumed_to > 0 => {
@@ -217,7 +274,7 @@
                     truncated: false,
                 }
             }
-            _ => step(number),
+            _ => reaction,
         };
         let echo = format!("x-attempt: {attempt}\r\nx-receipt: {id}\r\n");
         let complete = |status: u16, headers: &str, body: &str| {
@@ -245,6 +302,14 @@
                 let _sent = stream.write_all(head.as_bytes()).await;
                 return;
             }
+            Step::Crash => {
+                let head = format!("HTTP/1.1 200 X\r\n{echo}transfer-encoding: chunked\r\n\r\n");
+                let _sent = stream.write_all(head.as_bytes()).await;
+                shared.crashed.notify_one();
+                // The connection ends with the process.
+                std::future::pending::<()>().await;
+                return;
+            }
             Step::Hang => {
                 // Returns when the gateway closes the connection.
                 let end = stream.read(&mut [0; 16]).await;
