Bound the memory for responses without end

An upstream in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes.

The head's limit is set for homes, too.

--- a/src/event.rs
+++ b/src/event.rs
@@ -110,6 +110,16 @@
         self.position
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Returns whether no bytes are buffered.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 
 pub mod accept;
 pub mod attempt;
+pub mod buffer;
 pub mod cold_start;
 pub mod connection;
 pub mod crash;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -46,6 +46,10 @@
 /// Interval between keep-alive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum size of the head of a response, and of what is read ahead of a body. An
+/// upstream that fails may send a head without end.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
@@ -157,7 +161,9 @@
     socket
         .set_linger(Some(Duration::ZERO))
         .map_err(Fault::Connect)?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(Fault::Broken)?;
     let task = tokio::spawn(async move {
         // The request in flight receives the error.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,8 +13,6 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -44,10 +42,6 @@
 use crate::outcome::Code;
 use crate::outcome::Refusal;
 
-/// Maximum size of a response that is buffered. A response that isn't a stream is
-/// buffered until it is complete, so that a truncated one can be retried.
-const MAX_BUFFERED_BYTES: usize = 8 << 20;
-
 /// Serves a caller's request. Failures are returned as refusals.
 pub async fn serve(state: Arc<State>, request: Request<Incoming>) -> Response<Payload> {
     let arrived = Instant::now();
@@ -184,11 +178,9 @@
         lease,
         sent: _,
     } = exchange;
-    let body = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let body = match timeout_at(job.deadline, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Code::AnswerTooLarge),
-        Ok(Err(_)) => return Err(Code::AnswerCut),
+    // Buffered, so that a truncated response can be retried.
+    let body = match timeout_at(job.deadline, state.buffers.read(body)).await {
+        Ok(result) => result?,
         Err(_) => return Err(Code::StreamTimeout),
     };
     if !framing::is_complete(framing, &parts.headers, &body) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::boot;
+use crate::gateway::buffer;
 use crate::gateway::cold_start;
 use crate::gateway::connection;
 use crate::gateway::headers::Names;
@@ -100,6 +101,8 @@
     pub meter: metrics::Meter,
     /// Connections to upstreams.
     pub pool: connection::Pool,
+    /// Memory for responses that are buffered.
+    pub buffers: buffer::Budget,
     /// Outage of the store, and the recovery period after it.
     pub outage: Mutex<outage::Outage>,
     /// Notified when a slot became free or the view changed.
@@ -168,6 +171,7 @@
             origins: Mutex::default(),
             meter: metrics::Meter::new(),
             pool: connection::Pool::default(),
+            buffers: buffer::Budget::default(),
             outage: Mutex::default(),
             capacity_changed: Notify::new(),
             store_advanced: Notify::new(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -52,6 +52,10 @@
 /// for the start there.
 const GAP_FRACTION: f64 = 0.9;
 
+/// Maximum size of an event, or of comments between two of them. An upstream that fails
+/// may send bytes without end.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// A response that ended early: the caller's connection is closed before the end of
 /// the body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -182,8 +186,9 @@
                         self.splitter.push(&chunk);
                     }
                     match self.take_events() {
-                        events if events.is_empty() => continue,
-                        events => return Some(Ok(events)),
+                        events if !events.is_empty() => return Some(Ok(events)),
+                        _ if self.splitter.len() > MAX_EVENT_BYTES => Code::AnswerTooLarge,
+                        _ => continue,
                     }
                 }
                 Ok(None) if self.is_whole() => return self.end(),
--- a/src/home/connection.rs
+++ b/src/home/connection.rs
@@ -38,6 +38,10 @@
 /// sent.
 const MAX_UNSENT_ATTEMPTS: usize = 4;
 
+/// Maximum size of the head of a response, and of what is read ahead of a body. An
+/// upstream that fails may send a head without end.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Why an upstream returned no response.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
@@ -280,7 +284,10 @@
             .map_err(|_| Fault::ConnectTimeout)?
             .map_err(Fault::Connect)?;
         stream.set_nodelay(true).map_err(Fault::Connect)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, connection) = builder
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| Fault::Unsent)?;
         tokio::spawn(async move {
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -13,6 +13,7 @@
 mod cut;
 #[path = "../truncation/end.rs"]
 mod end;
+mod endless;
 #[path = "../truncation/events.rs"]
 mod events;
 mod host;
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -23,6 +23,12 @@
 /// Delay of slow responses, longer than the objective of the routes.
 const SLOW_DELAY: Duration = Duration::from_millis(400);
 
+/// Size of the blocks of an endless response.
+const ENDLESS_BLOCK_BYTES: usize = 64 * 1024;
+
+/// Interval at which an endless response goes on after its burst.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Time after which a process that ended starts again.
 const RESTART_DELAY: Duration = Duration::from_millis(150);
 
@@ -67,6 +73,15 @@
         /// How the connection ends.
         end: End,
     },
+    /// Sends bytes until the gateway disconnects: some at once, then some now and then.
+    Endless {
+        /// The beginning of the response, from the headers that frame it on.
+        head: &'static str,
+        /// What is repeated after it.
+        text: &'static str,
+        /// Number of bytes that are sent at once.
+        burst: usize,
+    },
     /// Sends a stream of events with a long gap.
     Stall {
         /// Number of the event that is sent late.
@@ -100,6 +115,8 @@
     closed: Notify,
     /// Number of times that its process ended.
     crashes: AtomicUsize,
+    /// Number of bytes of endless responses that were sent.
+    endless_bytes: AtomicUsize,
     crashed: Notify,
     /// Whether the gateway reset a connection.
     was_reset: AtomicBool,
@@ -161,6 +178,11 @@
         self.shared.crashes.load(Ordering::Relaxed)
     }
 
+    /// Returns how many bytes of endless responses were sent.
+    pub fn endless_bytes(&self) -> usize {
+        self.shared.endless_bytes.load(Ordering::Relaxed)
+    }
+
     /// Ends its process.
     pub fn crash(&self) {
         self.shared.crashed.notify_one();
@@ -193,6 +215,7 @@
                 resumed_to: AtomicU64::new(0),
                 closed: Notify::new(),
                 crashes: AtomicUsize::new(0),
+                endless_bytes: AtomicUsize::new(0),
                 crashed: Notify::new(),
                 was_reset: AtomicBool::new(false),
             }),
@@ -340,6 +363,12 @@
                 end.apply(stream).unwrap();
                 return;
             }
+            Step::Endless { head, text, burst } => {
+                let head = head.replace("{echo}", &echo);
+                let _sent = stream.write_all(head.as_bytes()).await;
+                send_endless(&mut stream, shared, text, burst).await;
+                return;
+            }
             Step::Stall { at, to } => {
                 let head = format!("HTTP/1.1 200 X\r\n{echo}transfer-encoding: chunked\r\n\r\n");
                 let _sent = stream.write_all(head.as_bytes()).await;
@@ -355,6 +384,28 @@
     }
 }
 
+/// Repeats a text, `burst` bytes of it at once, until the gateway disconnects.
+async fn send_endless(stream: &mut TcpStream, shared: &Shared, text: &str, burst: usize) {
+    let block = text.repeat(ENDLESS_BLOCK_BYTES.div_ceil(text.len()));
+    let mut sent = 0;
+    loop {
+        let bytes = match sent < burst {
+            true => block.as_bytes(),
+            false => {
+                tokio::time::sleep(TRICKLE_INTERVAL).await;
+                text.as_bytes()
+            }
+        };
+        if stream.write_all(bytes).await.is_err() {
+            return;
+        }
+        sent += bytes.len();
+        shared
+            .endless_bytes
+            .fetch_add(bytes.len(), Ordering::Relaxed);
+    }
+}
+
 async fn chunk(stream: &mut TcpStream, body: &[u8]) {
     let mut bytes = format!("{:x}\r\n", body.len()).into_bytes();
     bytes.extend_from_slice(body);
