Give up on an upstream that sends no head within 256 KB

The HTTP client limits a head, but skips any number of informational responses before it.

Change: reads from an upstream fail beyond 256 KB until the head of its response is complete.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::gateway::head_limit;
 use crate::lock::lock;
 
 /// Timeout for establishing a connection. TCP retransmits a lost SYN after one
@@ -70,6 +71,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     address: SocketAddr,
+    /// Limits what is read before the head of a response.
+    gauge: head_limit::Gauge,
     /// Whether it has carried a request before.
     pub is_reused: bool,
     idle_since: Instant,
@@ -90,7 +93,9 @@
         if self.sender.ready().await.is_err() {
             return Err(Fault::Unsent);
         }
+        self.gauge.begin_head();
         let response = self.sender.try_send_request(request).await;
+        self.gauge.end_head();
         response.map_err(|mut error| match error.take_message() {
             Some(_) => Fault::Unsent,
             None => Fault::Broken(error.into_error()),
@@ -163,6 +168,8 @@
         .map_err(Fault::Connect)?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
+    let gauge = head_limit::Gauge::default();
+    let stream = head_limit::Stream::new(stream, &gauge);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(Fault::Broken)?;
     let task = tokio::spawn(async move {
@@ -173,6 +180,7 @@
         sender,
         task: task.abort_handle(),
         address,
+        gauge,
         is_reused: false,
         idle_since: Instant::now(),
     })
--- a/tests/gateway_path/endless.rs
+++ b/tests/gateway_path/endless.rs
@@ -86,3 +86,19 @@
     assert!(sent.elapsed() < ANSWER_TIMEOUT, "{:?}", sent.elapsed());
     assert!(!reply.is_complete);
 }
+
+/// The client of HTTP skips informational responses, so no limit of its own applies.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn informational_responses_without_end_are_not_read_until_the_deadline() {
+    let step = |_| Step::Endless {
+        head: "",
+        text: INFORMATION,
+        burst: usize::MAX,
+    };
+    let one = Upstream::start("u1", step).await;
+    let host = Host::start(Kind::NonIdempotent, &[&one]).await;
+    let sent = Instant::now();
+    let reply = caller::send(host.caller, "a1", &[]).await;
+    assert_eq!(reply.status, 502);
+    assert!(sent.elapsed() < Duration::from_millis(DEADLINE_MS / 2));
+}
