Refuse a stream if a host that may know its beginning is unreachable

Found by reading: a host that was cut off from the others got no answer about a stream that a caller resumed, and took the only version it saw for the one that began it. A host that isn't cut off may have begun it at a version that started since (rule ORDER holds for machines out of touch, too). The new test failed before: the stream continued.

--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -1,5 +1,7 @@
 //! Finds the version at which a stream that a caller resumes has to continue.
 
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +17,7 @@
 use crate::gateway::follow;
 use crate::gateway::job::Job;
 use crate::gateway::origin;
+use crate::gateway::peers::Peer;
 use crate::gateway::state::State;
 use crate::gateway::table::Kind;
 use crate::ident;
@@ -99,41 +102,75 @@
     if known.is_some() {
         return (known, Evidence::Local);
     }
-    if let Some(version) = ask_peers(state, key).await {
-        lock(&state.origins).record(Instant::now(), key, &version);
-        return (Some(version), Evidence::Peer);
-    }
-    let lookback = job.route.timeout * LOOKBACK_FACTOR;
-    match view.only_version(boot::Instant::now(), &job.service, lookback) {
-        Some(version) => (Some(version.clone()), Evidence::OnlyVersion),
-        None => (None, Evidence::Nothing),
+    match ask_peers(state, key).await {
+        Reply::Version(version) => {
+            lock(&state.origins).record(Instant::now(), key, &version);
+            (Some(version), Evidence::Peer)
+        }
+        Reply::Unreachable => (None, Evidence::Nothing),
+        Reply::Unknown => {
+            let lookback = job.route.timeout * LOOKBACK_FACTOR;
+            match view.only_version(boot::Instant::now(), &job.service, lookback) {
+                Some(version) => (Some(version.clone()), Evidence::OnlyVersion),
+                None => (None, Evidence::Nothing),
+            }
+        }
     }
 }
 
+/// What other hosts know of a stream.
+#[derive(Debug)]
+enum Reply {
+    /// The version that began it.
+    Version(ident::Version),
+    /// All hosts that might know were asked, and none does.
+    Unknown,
+    /// A host that might know can't be reached. This one may be cut off, and not know of
+    /// a version that began since.
+    Unreachable,
+}
+
 /// Asks the hosts that may have been told of a stream which version began it.
-async fn ask_peers(state: &State, key: u64) -> Option<ident::Version> {
-    let hosts = {
+async fn ask_peers(state: &State, key: u64) -> Reply {
+    let (hosts, is_any_silent) = {
+        let now = Instant::now();
         let peers = lock(&state.peers);
-        origin::witness_candidates(key, peers.addressable(Instant::now()))
+        let addressable: BTreeSet<_> = peers.addressable(now).map(|(host, _)| host).collect();
+        let is_silent =
+            |(host, peer): (&Ipv4Addr, &Peer)| !peer.is_leaving && !addressable.contains(host);
+        let is_any_silent = peers.sharing_peers(now).any(is_silent);
+        let hosts = origin::witness_candidates(key, peers.addressable(now));
+        (hosts, is_any_silent)
     };
     let port = state.options.host.peer.port();
     let replies = hosts.into_iter().map(|host| async move {
         let address = SocketAddr::from((host, port));
         let reply: Result<Option<ident::Version>, _> = follow::call(address, PATH, &key).await;
-        if let Err(lost) = &reply {
-            info!(%host, %lost, "peers: can't ask a host for the version of a stream");
+        match reply {
+            Ok(Some(version)) => Reply::Version(version),
+            Ok(None) => Reply::Unknown,
+            Err(lost) => {
+                info!(%host, %lost, "peers: can't ask a host for the version of a stream");
+                Reply::Unreachable
+            }
         }
-        reply.ok().flatten()
     });
     let mut replies: FuturesUnordered<_> = replies.collect();
-    let first = async {
-        loop {
-            match replies.next().await {
-                Some(None) => {}
-                Some(Some(version)) => return Some(version),
-                None => return None,
+    let all = async {
+        let mut result = match is_any_silent {
+            true => Reply::Unreachable,
+            false => Reply::Unknown,
+        };
+        while let Some(reply) = replies.next().await {
+            match reply {
+                Reply::Version(_) => return reply,
+                Reply::Unreachable => result = reply,
+                Reply::Unknown => {}
             }
         }
+        result
     };
-    timeout(ASK_TIMEOUT, first).await.ok().flatten()
+    timeout(ASK_TIMEOUT, all)
+        .await
+        .unwrap_or(Reply::Unreachable)
 }
--- a/tests/gateway_path/versions.rs
+++ b/tests/gateway_path/versions.rs
@@ -242,3 +242,22 @@
     assert!(reply.is_complete);
     assert_eq!(reply.body, upstream::events(LAST + 1, 10));
 }
+
+/// Guards against a host that is cut off: another version may have started since, and
+/// begun the stream.
+#[tokio::test]
+async fn the_only_version_is_not_assumed_while_a_host_that_may_know_better_is_unreachable() {
+    let upstreams = truncating(&[("u1", "v1"), ("u2", "v1")]).await;
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    complete_resumed(&upstreams, true);
+    let fleet = Host::start_fleet(3, Kind::ResumableStream, &all).await;
+    // Three times the time limit of the route.
+    tokio::time::sleep(Duration::from_millis(15_500)).await;
+    let reply = resume(&fleet[2], "next1", "unknown1").await;
+    assert!(reply.is_complete, "{}", reply.text());
+    assert_eq!(reply.body, upstream::events(LAST + 1, 10));
+    fleet[0].kill().await;
+    let reply = resume(&fleet[2], "next2", "unknown2").await;
+    assert_eq!(reply.status, 503, "{}", reply.text());
+    assert_eq!(outcome(&reply), Outcome::NotRun);
+}
