--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -72,7 +72,7 @@
     task: AbortHandle,
     address: SocketAddr,
     /// Limits what is read before the head of a response.
-    gauge: head_limit::Gauge,
+    budget: head_limit::Budget,
     /// Whether it has carried a request before.
     pub is_reused: bool,
     idle_since: Instant,
@@ -93,9 +93,9 @@
         if self.sender.ready().await.is_err() {
             return Err(Fault::Unsent);
         }
-        self.gauge.begin_head();
+        self.budget.begin_head();
         let response = self.sender.try_send_request(request).await;
-        self.gauge.end_head();
+        self.budget.end_head();
         response.map_err(|mut error| match error.take_message() {
             Some(_) => Fault::Unsent,
             None => Fault::Broken(error.into_error()),
@@ -168,8 +168,9 @@
         .map_err(Fault::Connect)?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
-    let gauge = head_limit::Gauge::default();
-    let stream = head_limit::Stream::new(stream, &gauge);
+    let budget = head_limit::Budget::default();
+    let (reader, writer) = tokio::io::split(stream);
+    let stream = tokio::io::join(head_limit::Reader::new(reader, &budget), writer);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(Fault::Broken)?;
     let task = tokio::spawn(async move {
@@ -180,7 +181,7 @@
         sender,
         task: task.abort_handle(),
         address,
-        gauge,
+        budget,
         is_reused: false,
         idle_since: Instant::now(),
     })
