Let the request that tries a refused segment pass both checks

Found while reading the change: a request is checked on arrival and before it is sent, and the first check counted as the trial. Now only the check before sending begins a trial.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -137,7 +137,7 @@
             None => wait_for_upstream(state, job, history).await?,
         };
         reauthorize(state, job, history)?;
-        crash::check(state, job, history)?;
+        crash::check_before_send(state, job, history)?;
         let upstream = lease.record.upstream.id.clone();
         let now = Instant::now();
         let condition = lease.condition;
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -34,12 +34,12 @@
 /// Time limit for the connection that tells whether an upstream's process has ended.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Returns whether a request may be sent now, as its prompt's segments are known here. Fails
-/// with a refusal if one of them has crashed several upstreams.
-pub fn check(state: &State, job: &Job, history: &History) -> Result<(), Refusal> {
+/// Checks whether a request may be sent, as its prompt's segments are known here. Fails with
+/// a refusal if one of them has crashed several upstreams.
+pub fn check(state: &State, job: &Job, history: &History) -> Result<Verdict, Refusal> {
     let now = Instant::now();
     if !lock(&state.quarantine).contains(&job.segments) {
-        return Ok(());
+        return Ok(Verdict::Allowed);
     }
     let hosts: Vec<_> = {
         let peers = lock(&state.peers);
@@ -52,11 +52,7 @@
     };
     let verdict = lock(&state.quarantine).check(now, &job.segments, job.workspace_hash(), rank);
     match verdict {
-        Verdict::Allowed => Ok(()),
-        Verdict::Trial => {
-            info!(id = job.id, "request: sent to try a refused prompt segment");
-            Ok(())
-        }
+        Verdict::Allowed | Verdict::Trial => Ok(verdict),
         Verdict::Refused { segment, left } => {
             info!(
                 id = job.id,
@@ -73,6 +69,15 @@
     }
 }
 
+/// Checks a request as [`check`] does, immediately before it is sent.
+pub fn check_before_send(state: &State, job: &Job, history: &History) -> Result<(), Refusal> {
+    if check(state, job, history)? == Verdict::Trial {
+        info!(id = job.id, "request: sent to try a refused prompt segment");
+        lock(&state.quarantine).begin_trial(Instant::now(), &job.segments);
+    }
+    Ok(())
+}
+
 /// Records that a response to the request began or was complete, which clears its
 /// prompt's segments.
 pub fn record_answer(state: &State, job: &Job) {
--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -249,7 +249,7 @@
     /// Decides whether a request of a workspace may be sent. `rank` returns the rank of
     /// this host among all hosts for a segment, from 0.
     pub fn check(
-        &mut self,
+        &self,
         now: Instant,
         segments: &[u64],
         workspace: u32,
@@ -275,14 +275,17 @@
                 }
             }
         }
-        if verdict == Verdict::Trial {
-            for segment in segments {
-                if let Some(suspect) = self.suspects.get_mut(segment) {
-                    suspect.tried_at = Some(now);
-                }
+        verdict
+    }
+
+    /// Records that a request is sent to try refused segments. The next one may be after
+    /// another probation.
+    pub fn begin_trial(&mut self, now: Instant, segments: &[u64]) {
+        for segment in segments {
+            if let Some(suspect) = self.suspects.get_mut(segment) {
+                suspect.tried_at = Some(now);
             }
         }
-        verdict
     }
 
     /// Returns whether one more crash would get a segment refused for a workspace.
--- a/tests/gateway_path/crashing_segments.rs
+++ b/tests/gateway_path/crashing_segments.rs
@@ -198,3 +198,21 @@
     let reply = send(&host, 100, "1,2", "k1").await;
     assert_eq!(reply.status, 200, "{}", reply.text());
 }
+
+/// Guards against a segment that stays refused for ever: the request that tries it passes
+/// both checks, on arrival and before it is sent.
+#[tokio::test]
+async fn a_refused_segment_is_tried_again_and_cleared_by_the_response() {
+    let engines = engines(2).await;
+    let host = Host::start(Kind::Stream, &engines.iter().collect::<Vec<_>>()).await;
+    host.refuse_segment(2, &[63_000, 62_000, 61_000]);
+    let reply = send(&host, 1, "1,2", "k1").await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    host.refuse_segment(3, &[13_000, 12_000, 11_000]);
+    let reply = send(&host, 2, "1,3", "k1").await;
+    assert_eq!(reply.status, 503, "{}", reply.text());
+    for number in 3..6 {
+        let reply = send(&host, number, "1,2", "k1").await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+}
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -35,6 +35,7 @@
 use masticmoor::mirror::Event;
 use masticmoor::mirror::Item;
 use masticmoor::options::Options;
+use masticmoor::policy::quarantine;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::net::TcpStream;
@@ -208,6 +209,25 @@
         lock(&self.state.prefix_cache).prefix_len(Instant::now(), segments, &upstream.id.into())
     }
 
+    /// Records crashes of engines, by requests of several workspaces with a segment, as
+    /// another host would report them.
+    pub fn refuse_segment(&self, segment: u64, ages_ms: &[u64]) {
+        let crashes = ages_ms.iter().zip(0..).flat_map(|(age_ms, number)| {
+            (0..2).map(move |other| quarantine::Crash {
+                upstream: format!("lost-{number}").as_str().into(),
+                workspace: number * 2 + other,
+                age_ms: *age_ms - u64::from(other) * 400,
+                run_ms: 10,
+            })
+        });
+        let report = quarantine::Report {
+            segment,
+            crashes: crashes.collect(),
+            answer_age_ms: None,
+        };
+        lock(&self.state.quarantine).merge(Instant::now(), &report);
+    }
+
     /// Makes the store respond to no call from now on.
     pub fn silence_store(&self) {
         self.store.is_silent.store(true, Ordering::Relaxed);
--- a/tests/policy_quarantine.rs
+++ b/tests/policy_quarantine.rs
@@ -47,7 +47,7 @@
     tokio::time::advance(Duration::from_millis(millis)).await;
 }
 
-fn is_refused(table: &mut Table, segments: &[u64], workspace: u32) -> bool {
+fn is_refused(table: &Table, segments: &[u64], workspace: u32) -> bool {
     let verdict = table.check(Instant::now(), segments, workspace, |_| 0);
     matches!(verdict, Verdict::Refused { .. })
 }
@@ -64,14 +64,14 @@
     let mut table = table();
     for upstream in 0..3 {
         let last = 100 + upstream as u64;
-        assert!(!is_refused(&mut table, &[SHARED, CRASHING, last], SCHOOL));
+        assert!(!is_refused(&table, &[SHARED, CRASHING, last], SCHOOL));
         crash(&mut table, &[SHARED, CRASHING, last], SCHOOL, upstream).await;
         table.record_answer(Instant::now(), &[SHARED, 2]);
     }
-    assert!(is_refused(&mut table, &[SHARED, CRASHING], SCHOOL));
-    assert!(is_refused(&mut table, &[CRASHING], SCHOOL));
-    assert!(!is_refused(&mut table, &[SHARED, 2], SCHOOL));
-    assert!(!is_refused(&mut table, &[SHARED, 101], SCHOOL));
+    assert!(is_refused(&table, &[SHARED, CRASHING], SCHOOL));
+    assert!(is_refused(&table, &[CRASHING], SCHOOL));
+    assert!(!is_refused(&table, &[SHARED, 2], SCHOOL));
+    assert!(!is_refused(&table, &[SHARED, 101], SCHOOL));
 }
 
 #[tokio::test(start_paused = true)]
@@ -81,7 +81,7 @@
     assert!(!table.is_suspect(Instant::now(), &[CRASHING], SCHOOL));
     crash(&mut table, &[CRASHING], SCHOOL, 1).await;
     assert!(table.is_suspect(Instant::now(), &[CRASHING], SCHOOL));
-    assert!(!is_refused(&mut table, &[CRASHING], SCHOOL));
+    assert!(!is_refused(&table, &[CRASHING], SCHOOL));
 }
 
 /// Guards against a workspace that gets a segment of others refused by naming it in
@@ -93,20 +93,20 @@
         let workspace = [SCHOOL, CLUB][upstream % 2];
         crash(&mut table, &[SHARED, CRASHING], workspace, upstream).await;
     }
-    assert!(is_refused(&mut table, &[SHARED], SCHOOL));
-    assert!(is_refused(&mut table, &[SHARED], CLUB));
-    assert!(!is_refused(&mut table, &[SHARED], CHOIR));
+    assert!(is_refused(&table, &[SHARED], SCHOOL));
+    assert!(is_refused(&table, &[SHARED], CLUB));
+    assert!(!is_refused(&table, &[SHARED], CHOIR));
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_segment_that_crashes_upstreams_for_several_workspaces_is_refused_to_all() {
     let mut table = table();
     for upstream in 0..5 {
-        assert!(!is_refused(&mut table, &[CRASHING], 9));
+        assert!(!is_refused(&table, &[CRASHING], 9));
         let workspace = [SCHOOL, CLUB, CHOIR][upstream % 3];
         crash(&mut table, &[CRASHING], workspace, upstream).await;
     }
-    assert!(is_refused(&mut table, &[CRASHING], 9));
+    assert!(is_refused(&table, &[CRASHING], 9));
 }
 
 /// Guards against refusing popular prompts after a rack was lost.
@@ -118,7 +118,7 @@
         wait(10).await;
         table.record_crash(Instant::now(), &[SHARED], SCHOOL, &name(upstream), sent_at);
     }
-    assert!(!is_refused(&mut table, &[SHARED], SCHOOL));
+    assert!(!is_refused(&table, &[SHARED], SCHOOL));
     assert!(!table.is_suspect(Instant::now(), &[SHARED], SCHOOL));
 }
 
@@ -142,7 +142,7 @@
         }
     }
     report(&one, &mut two);
-    assert!(!is_refused(&mut two, &[CRASHING], SCHOOL));
+    assert!(!is_refused(&two, &[CRASHING], SCHOOL));
 }
 
 #[tokio::test(start_paused = true)]
@@ -168,17 +168,17 @@
         crash(&mut one, &[SHARED], SCHOOL, upstream).await;
     }
     report(&one, &mut two);
-    assert!(is_refused(&mut two, &[SHARED], SCHOOL));
+    assert!(is_refused(&two, &[SHARED], SCHOOL));
     // A request that was under way.
     wait(5).await;
     assert!(two.record_answer(Instant::now(), &[SHARED, 2]));
-    assert!(!is_refused(&mut two, &[SHARED], SCHOOL));
+    assert!(!is_refused(&two, &[SHARED], SCHOOL));
     wait(100).await;
     // The first host hasn't heard of the response and reports the crashes again.
     report(&one, &mut two);
-    assert!(!is_refused(&mut two, &[SHARED], SCHOOL));
+    assert!(!is_refused(&two, &[SHARED], SCHOOL));
     report(&two, &mut one);
-    assert!(!is_refused(&mut one, &[SHARED], SCHOOL));
+    assert!(!is_refused(&one, &[SHARED], SCHOOL));
 }
 
 #[tokio::test(start_paused = true)]
@@ -190,9 +190,9 @@
     two.record_answer(Instant::now(), &[SHARED]);
     wait(10).await;
     report(&one, &mut two);
-    assert!(!is_refused(&mut two, &[SHARED], SCHOOL));
+    assert!(!is_refused(&two, &[SHARED], SCHOOL));
     report(&two, &mut one);
-    assert!(!is_refused(&mut one, &[SHARED], SCHOOL));
+    assert!(!is_refused(&one, &[SHARED], SCHOOL));
 }
 
 /// Guards against refusing the prompts of all sound requests during a series of crashes in
@@ -205,8 +205,8 @@
         crash(&mut table, &[SHARED, CRASHING], SCHOOL, upstream).await;
         wait(600).await;
     }
-    assert!(is_refused(&mut table, &[CRASHING], SCHOOL));
-    assert!(!is_refused(&mut table, &[SHARED], SCHOOL));
+    assert!(is_refused(&table, &[CRASHING], SCHOOL));
+    assert!(!is_refused(&table, &[SHARED], SCHOOL));
 }
 
 /// A new version of the engines may crash on a segment that earlier ones responded to.
@@ -215,11 +215,11 @@
     let mut table = table();
     table.record_answer(Instant::now(), &[CRASHING]);
     for upstream in 0..6 {
-        assert!(!is_refused(&mut table, &[CRASHING], SCHOOL), "{upstream}");
+        assert!(!is_refused(&table, &[CRASHING], SCHOOL), "{upstream}");
         crash(&mut table, &[CRASHING], SCHOOL, upstream).await;
         wait(500).await;
     }
-    assert!(is_refused(&mut table, &[CRASHING], SCHOOL));
+    assert!(is_refused(&table, &[CRASHING], SCHOOL));
 }
 
 #[tokio::test(start_paused = true)]
@@ -228,28 +228,30 @@
     for upstream in 0..3 {
         crash(&mut table, &[CRASHING], SCHOOL, upstream).await;
     }
-    let mut check = |rank: usize| table.check(Instant::now(), &[CRASHING], SCHOOL, |_| rank);
+    let check =
+        |table: &Table, rank: usize| table.check(Instant::now(), &[CRASHING], SCHOOL, |_| rank);
     let refused = |seconds| Verdict::Refused {
         segment: CRASHING,
         left: Duration::from_secs(seconds),
     };
-    assert_eq!(check(0), refused(60));
-    assert_eq!(check(2), refused(120));
-    assert_eq!(check(3), refused(180));
-    assert_eq!(check(379), refused(540));
+    assert_eq!(check(&table, 0), refused(60));
+    assert_eq!(check(&table, 2), refused(120));
+    assert_eq!(check(&table, 3), refused(180));
+    assert_eq!(check(&table, 379), refused(540));
     wait(60_000).await;
-    assert_eq!(check(1), refused(60));
-    assert_eq!(check(0), Verdict::Trial);
-    assert_eq!(check(0), refused(60));
+    assert_eq!(check(&table, 1), refused(60));
+    assert_eq!(check(&table, 0), Verdict::Trial);
+    table.begin_trial(Instant::now(), &[CRASHING]);
+    assert_eq!(check(&table, 0), refused(60));
     // The trial crashed an upstream.
     crash(&mut table, &[CRASHING], SCHOOL, 9).await;
-    assert!(is_refused(&mut table, &[CRASHING], SCHOOL));
+    assert!(is_refused(&table, &[CRASHING], SCHOOL));
     wait(60_000).await;
     let verdict = table.check(Instant::now(), &[CRASHING], SCHOOL, |_| 0);
     assert_eq!(verdict, Verdict::Trial);
     // This one got a response.
     table.record_answer(Instant::now(), &[CRASHING]);
-    assert!(!is_refused(&mut table, &[CRASHING], SCHOOL));
+    assert!(!is_refused(&table, &[CRASHING], SCHOOL));
 }
 
 #[tokio::test(start_paused = true)]
@@ -272,7 +274,7 @@
     let max = Limits::default().max_segments;
     let (suspects, answers) = table.len();
     assert!(suspects <= max && answers <= max, "{suspects}, {answers}");
-    assert!(is_refused(&mut table, &[CRASHING], SCHOOL));
+    assert!(is_refused(&table, &[CRASHING], SCHOOL));
     wait(1_000_000).await;
     crash(&mut table, &[5], SCHOOL, 0).await;
     let (suspects, answers) = table.len();
