--- a/standin/tests/fleet_crash.rs
+++ b/standin/tests/fleet_crash.rs
@@ -5,6 +5,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use masticmoor::class::Class;
+use standin::caller::call::Call;
+use standin::caller::call::Chat;
+use standin::engine::chat::Message;
 use standin::fault::Plan;
 use standin::fleet::Fleet;
 use standin::fleet::probe;
@@ -101,3 +105,44 @@
         .map(|it| it.shared.journal.snapshot().crashes);
     assert_eq!(crashes.sum::<u64>(), 2);
 }
+
+/// Crashes after which only a few more chats with the message may reach engines.
+const MAX_CRASHES: u64 = 5;
+
+/// Number of them.
+const MAX_LATE_CRASHES: u64 = 3;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chats_that_share_a_message_do_not_crash_one_engine_after_another() {
+    let shape = Shape::zones(1, 3, 4, 0).warm().with_long_timeouts();
+    let fleet = Fleet::start_ready(shape).await.unwrap();
+    for engine in fleet.engines.values() {
+        engine.shared.fault.set_plan(Plan {
+            marker: Some(MARKER.to_owned()),
+            crash_ms: 200,
+            ..Plan::default()
+        });
+    }
+    let hosts: Vec<_> = fleet.hosts.keys().cycle().take(12).collect();
+    for (number, host) in hosts.into_iter().enumerate() {
+        let message = |role: &str, content: String| Message {
+            role: role.to_owned(),
+            content,
+        };
+        let chat = Chat {
+            name: format!("chat-{number}"),
+            workspace: probe::WORKSPACE.to_owned(),
+            class: Class::Interactive,
+            messages: vec![
+                message("system", MARKER.to_owned()),
+                message("user", format!("question {number}")),
+            ],
+        };
+        let call = Call::chat(chat, "assistant", false);
+        let _reply = probe::send(fleet.caller(host).unwrap(), &call, None).await;
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    let engines = fleet.engines.values();
+    let crashes: u64 = engines.map(|it| it.shared.journal.snapshot().crashes).sum();
+    assert!(crashes <= MAX_CRASHES + MAX_LATE_CRASHES, "{crashes}");
+}
