Place nothing at an upstream that announced that it leaves, at any host

Cause: that an upstream leaves was known from the store alone. A host that is cut off from the store, or reads it while it is away or older, went on sending.

Change: the adapter decodes the header; the first response that has it takes the upstream out of placement at this host (requests, repeats, resumed streams, warm-up), and hosts report it to each other by run of its process, with its age.

Evidence: on a scratch copy on which the notice is ignored, 8 of the 9 tests in gateway_path::leaving fail; the ninth guards against a 421 of another upstream.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod listen;
 pub mod load;
 pub mod metrics;
+pub mod notice;
 pub mod operator;
 pub mod origin;
 pub mod outage;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 use tracing::info;
+use tracing::warn;
 
 use crate::framing::Framing;
 use crate::gateway::accept;
@@ -21,12 +22,14 @@
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Fault;
 use crate::gateway::crash;
+use crate::gateway::headers::Notice;
 use crate::gateway::health::Observation;
 use crate::gateway::job::Job;
 use crate::gateway::job::segment_list;
 use crate::gateway::selection::Lease;
 use crate::gateway::selection::Selection;
 use crate::gateway::state::State;
+use crate::gateway::upstream::Upstream;
 use crate::ident;
 use crate::lock::lock;
 use crate::log::ROUTINE;
@@ -262,6 +265,21 @@
     }
 }
 
+/// Records what an upstream announced of itself in a response, and reports news to other hosts
+/// at once.
+fn record_notice(state: &State, job: &Job, upstream: &Upstream, notice: &Notice) {
+    for header in &notice.invalid {
+        warn!(id = job.id, upstream = %upstream.id, %header, "upstream: unreadable header, ignored");
+    }
+    let now = Instant::now();
+    if notice.is_leaving && lock(&state.notices).record_leaving(now, upstream) {
+        info!(id = job.id, upstream = %upstream.id, is_draining = upstream.is_draining,
+            "upstream: announces that it leaves");
+        state.meter.noticed("leaving");
+        state.gossip_urgent.notify_one();
+    }
+}
+
 /// Spends a retry of this host's budget, and returns whether there was one left.
 fn may_retry(state: &State, job: &Job) -> bool {
     let now = Instant::now();
@@ -398,15 +416,15 @@
     let framing = Framing::of(&parts.headers, &body);
     history.framing = Some(framing);
     let echoed = header_text(&parts.headers, &names.attempt);
-    if parts.headers.contains_key(&names.leaving) {
-        info!(id = job.id, upstream = %upstream.id, status = parts.status.as_u16(),
-            is_draining = upstream.is_draining, "request: answered by a leaving upstream");
-    }
     let not_executed = parts.headers.contains_key(&names.not_executed)
         || parts.status == http::StatusCode::MISDIRECTED_REQUEST;
     if echoed.is_some_and(|echoed| echoed != job.id) {
         return Err(Loss::Unknown(Code::ForeignAnswer));
     }
+    // Another upstream has this one's address now, and speaks of itself.
+    if parts.status != http::StatusCode::MISDIRECTED_REQUEST {
+        record_notice(state, job, upstream, &(names.notice)(&parts.headers));
+    }
     if not_executed {
         history.runs -= 1;
         return Err(Loss::Rejected(parts.status));
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::load;
+use crate::gateway::notice;
 use crate::gateway::peers;
 use crate::gateway::peers::Contact;
 use crate::ident;
@@ -22,7 +23,7 @@
 use crate::policy::quarantine;
 
 /// Version of the format.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 7;
 
 /// Maximum size of a datagram that is not fragmented.
 pub const DATAGRAM_BYTES: usize = 1_400;
@@ -65,6 +66,8 @@
     pub crashes: Vec<Crash>,
     /// Prompt segments that crashed upstreams.
     pub segments: Vec<quarantine::Report>,
+    /// What upstreams announced of themselves.
+    pub notices: Vec<notice::Report>,
     /// Prompt placements.
     #[serde(rename = "prompts")]
     pub placements: Placements,
@@ -148,7 +151,9 @@
 impl Report {
     /// Removes one item that a later datagram repeats. Returns `false` if none is left.
     fn shorten(&mut self) -> bool {
-        self.contacts.pop().is_some() || self.crashes.pop().is_some()
+        self.contacts.pop().is_some()
+            || self.crashes.pop().is_some()
+            || self.notices.pop().is_some()
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -30,6 +30,7 @@
 use crate::gateway::datagram::Summary;
 use crate::gateway::health::Scope;
 use crate::gateway::load;
+use crate::gateway::notice;
 use crate::gateway::origin;
 use crate::gateway::peers::Selection;
 use crate::gateway::relay;
@@ -46,6 +47,9 @@
 /// Maximum number of prompt segments with crashes in a message.
 const MAX_SEGMENTS: usize = 5;
 
+/// Maximum number of upstreams' notices in a message.
+const MAX_NOTICES: usize = 10;
+
 /// Maximum rate of datagrams that a host sends. Rounds are less frequent in larger
 /// fleets.
 const DATAGRAMS_PER_SECOND: f64 = 60.0;
@@ -259,6 +263,7 @@
     let loads = lock(&state.loads).own_counts().clone();
     let mut crashes = lock(&state.crashes).crashes(now);
     crashes.truncate(MAX_CRASHES);
+    let notices = lock(&state.notices).reports(now, MAX_NOTICES);
     let segments = lock(&state.quarantine).reports(now, MAX_SEGMENTS);
     Message {
         sender,
@@ -268,6 +273,7 @@
             suspects: datagram::suspects(suspects),
             crashes,
             segments,
+            notices,
             placements,
             contacts,
         },
@@ -382,6 +388,7 @@
             health.merge(now, upstream, left, *is_down, is_same_zone);
         }
     }
+    merge_notices(state, now, &report.notices);
     let loads = report.loads.into_iter().collect();
     lock(&state.loads).report(now, source, loads);
     {
@@ -401,3 +408,13 @@
         quarantine.merge(now, segment);
     }
 }
+
+/// Merges what other hosts read in responses of upstreams.
+fn merge_notices(state: &State, now: Instant, reports: &[notice::Report]) {
+    for report in reports {
+        if lock(&state.notices).merge(now, report) {
+            info!(upstream = %report.upstream, age_ms = report.age_ms,
+                "upstream: announced to another host that it leaves");
+        }
+    }
+}
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -13,6 +13,15 @@
     pub tokens: u64,
 }
 
+/// What an upstream announces of itself in a response.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// The headers whose values can't be read, which are ignored.
+    pub invalid: Vec<HeaderName>,
+}
+
 /// Header names of the platform, and functions for the headers' values.
 #[derive(Clone, Debug)]
 pub struct Names {
@@ -30,8 +39,6 @@
     pub not_executed: HeaderName,
     /// Set by an upstream to prove that it created the response.
     pub receipt: HeaderName,
-    /// Set by an upstream on all its responses while it is leaving.
-    pub leaving: HeaderName,
     /// Number of the last event that the caller has.
     pub last_event: HeaderName,
     /// Attempt that began the stream that the caller resumes.
@@ -45,6 +52,8 @@
     pub reserved: Vec<HeaderName>,
     /// Returns the segments of a request's prompt, in order.
     pub segments: fn(&HeaderMap) -> Vec<Segment>,
+    /// Returns what an upstream announces in the headers of a response.
+    pub notice: fn(&HeaderMap) -> Notice,
     /// Maps a priority of routes and workspaces to the priority header's value.
     pub rank: fn(u8) -> u8,
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,7 +24,7 @@
 /// Number of buckets of a histogram; each bound is twice the one before.
 const BUCKETS: u16 = 13;
 
-/// Label set with the code of a refusal, loss or read result.
+/// Label set with the code of a refusal, a loss, a read result or a notice.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ByCode {
     code: &'static str,
@@ -55,6 +55,7 @@
     lost: Family<ByCode, Counter>,
     resumed: Family<ByEvidence, Counter>,
     store_reads: Family<ByCode, Counter>,
+    notices: Family<ByCode, Counter>,
     upstreams: Gauge,
     hosts: Gauge,
     store_age_seconds: Gauge<f64, AtomicU64>,
@@ -87,6 +88,7 @@
             lost: Family::default(),
             resumed: Family::default(),
             store_reads: Family::default(),
+            notices: Family::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
             store_age_seconds: Gauge::default(),
@@ -125,6 +127,11 @@
             "Calls to the platform's store",
             it.store_reads.clone(),
         );
+        registry.register(
+            "upstream_notices",
+            "Upstreams that announced something of themselves to this host",
+            it.notices.clone(),
+        );
         registry.register("upstreams", "Upstreams listed", it.upstreams.clone());
         registry.register("hosts", "Live hosts", it.hosts.clone());
         registry.register(
@@ -181,6 +188,11 @@
             .inc();
     }
 
+    /// Counts a notice of an upstream that this host read first.
+    pub fn noticed(&self, kind: &'static str) {
+        self.notices.get_or_create(&ByCode { code: kind }).inc();
+    }
+
     /// Sets the gauges and returns all metrics in the Prometheus text format.
     pub fn text(&self, gauges: Gauges) -> Result<String, std::fmt::Error> {
         let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- /dev/null
+++ b/src/gateway/notice.rs
@@ -0,0 +1,151 @@
+//! What upstreams announce of themselves in their responses, as this host and others have
+//! read it.
+//!
+//! A notice belongs to one run of an upstream's process. Hosts report notices to each other
+//! with their ages, so a host that is cut off from the store, or has just started, learns
+//! them too. A later run replaces an earlier one, whatever the times.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::gateway::upstream::Upstream;
+use crate::ident;
+use crate::log::millis;
+
+/// How long a notice is kept after it was last read. An upstream that leaves serves for some
+/// seconds, at most a few minutes.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// Maximum number of upstreams with a notice. The oldest are forgotten first.
+const MAX_ENTRIES: usize = 8_192;
+
+/// How long a notice that is new goes before others in messages.
+const NEWS_TIME: Duration = Duration::from_secs(2);
+
+/// A notice as hosts report it to each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The upstream.
+    pub upstream: ident::Upstream,
+    /// When its process started, in milliseconds of wall-clock time, if listed.
+    pub started_ms: Option<u64>,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// Time since a host read it in a response, in milliseconds.
+    pub age_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    started_ms: Option<u64>,
+    is_leaving: bool,
+    /// When a host last read it in a response.
+    read_at: Instant,
+    /// When this host learned what it didn't know before.
+    learned_at: Instant,
+}
+
+/// The notices, by upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    entries: BTreeMap<ident::Upstream, Entry>,
+    /// Number of notices reported so far, to rotate them.
+    offset: usize,
+}
+
+impl Table {
+    /// Records that an upstream announced in a response that it leaves, and returns whether
+    /// this is news.
+    pub fn record_leaving(&mut self, now: Instant, upstream: &Upstream) -> bool {
+        self.insert(now, &upstream.id, upstream.started_ms, now)
+    }
+
+    /// Merges another host's report, and returns whether it is news.
+    pub fn merge(&mut self, now: Instant, report: &Report) -> bool {
+        let age = Duration::from_millis(report.age_ms);
+        if !report.is_leaving || age >= RETENTION {
+            return false;
+        }
+        let read_at = now.checked_sub(age).unwrap_or(now);
+        self.insert(now, &report.upstream, report.started_ms, read_at)
+    }
+
+    /// Returns whether an upstream has announced that it leaves. Another run of its process
+    /// isn't meant.
+    pub fn is_leaving(&self, upstream: &Upstream) -> bool {
+        let entry = self.entries.get(&upstream.id);
+        entry.is_some_and(|entry| entry.is_leaving && entry.started_ms >= upstream.started_ms)
+    }
+
+    /// Returns notices for a message, the news first. Each call continues after the others
+    /// of the call before.
+    pub fn reports(&mut self, now: Instant, limit: usize) -> Vec<Report> {
+        self.expire(now);
+        let is_news = |entry: &Entry| now.duration_since(entry.learned_at) < NEWS_TIME;
+        let (mut news, rest): (Vec<_>, Vec<_>) =
+            self.entries.iter().partition(|(_, entry)| is_news(entry));
+        news.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.learned_at));
+        let skip = self.offset % rest.len().max(1);
+        let others = rest.iter().cycle().skip(skip).take(rest.len()).copied();
+        let reports = news.into_iter().chain(others).take(limit);
+        let reports = reports.map(|(upstream, entry)| Report {
+            upstream: upstream.clone(),
+            started_ms: entry.started_ms,
+            is_leaving: entry.is_leaving,
+            age_ms: millis(now.duration_since(entry.read_at)),
+        });
+        let reports = reports.collect();
+        self.offset = self.offset.wrapping_add(limit);
+        reports
+    }
+
+    /// Returns the number of upstreams with a notice.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there is no notice.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn insert(
+        &mut self,
+        now: Instant,
+        upstream: &ident::Upstream,
+        started_ms: Option<u64>,
+        read_at: Instant,
+    ) -> bool {
+        if let Some(entry) = self.entries.get_mut(upstream)
+            && entry.started_ms >= started_ms
+        {
+            let is_same_run = entry.started_ms == started_ms;
+            if is_same_run {
+                entry.read_at = entry.read_at.max(read_at);
+            }
+            return false;
+        }
+        if self.entries.len() >= MAX_ENTRIES {
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.read_at);
+            let oldest = oldest.map(|(upstream, _)| upstream.clone());
+            oldest.and_then(|upstream| self.entries.remove(&upstream));
+        }
+        let entry = Entry {
+            started_ms,
+            is_leaving: true,
+            read_at,
+            learned_at: now,
+        };
+        self.entries.insert(upstream.clone(), entry);
+        true
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.entries
+            .retain(|_, entry| now.duration_since(entry.read_at) < RETENTION);
+    }
+}
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -51,6 +51,7 @@
             .usable(boot_now)
             .filter(|record| record.upstream.service == job.service)
             .filter(|record| version.is_none_or(|it| record.upstream.version == *it))
+            .filter(|record| !self.is_leaving(record))
             .collect();
         let cold_limit = view.route_table().and_then(|table| {
             let service = table.service(&job.service)?;
@@ -167,6 +168,11 @@
         })
     }
 
+    /// Returns whether an upstream has announced that it leaves.
+    fn is_leaving(&self, record: &Record) -> bool {
+        lock(&self.notices).is_leaving(&record.upstream)
+    }
+
     /// Returns another engine that holds more leading segments of a request's
     /// prompt than `upstream` does.
     fn find_holder(
@@ -177,6 +183,7 @@
         upstream: &ident::Upstream,
     ) -> Option<Arc<Record>> {
         let health = lock(&self.health);
+        let notices = lock(&self.notices);
         let cache = lock(&self.prefix_cache);
         let held = cache.prefix_len(now, &job.segments, upstream);
         let mut missing = (held..job.segments.len()).rev();
@@ -190,7 +197,7 @@
             let listed: Vec<_> = listed.filter(|it| it.expires_at.is_none()).collect();
             let holders = listed.iter().map(|record| placement::Holder {
                 status: health.status(now, &record.upstream.id),
-                is_draining: record.upstream.is_draining,
+                is_draining: record.upstream.is_draining || notices.is_leaving(&record.upstream),
             });
             let holders: Vec<_> = holders.collect();
             let record = listed.get(placement::holder(&holders)?)?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,15 +7,16 @@
 //! 2. `view`: the decoded items
 //! 3. `peers`: the other hosts of the fleet
 //! 4. `health`: health of upstreams
-//! 5. `loads`: requests in flight
-//! 6. `cold_starts`: requests started at cold upstreams
-//! 7. `prefix_cache`: upstreams that hold prompts
-//! 8. `retry_budget`: the retry budget
-//! 9. `crashes`: requests that crashed upstreams
-//! 10. `quarantine`: prompt segments that crashed upstreams
-//! 11. `origins`: versions that began streams
-//! 12. `live_options`: the gateway settings in effect
-//! 13. `meter`: metrics, and the locks of the connection pool
+//! 5. `notices`: what upstreams announce
+//! 6. `loads`: requests in flight
+//! 7. `cold_starts`: requests started at cold upstreams
+//! 8. `prefix_cache`: upstreams that hold prompts
+//! 9. `retry_budget`: the retry budget
+//! 10. `crashes`: requests that crashed upstreams
+//! 11. `quarantine`: prompt segments that crashed upstreams
+//! 12. `origins`: versions that began streams
+//! 13. `live_options`: the gateway settings in effect
+//! 14. `meter`: metrics, and the locks of the connection pool
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -38,6 +39,7 @@
 use crate::gateway::health;
 use crate::gateway::load;
 use crate::gateway::metrics;
+use crate::gateway::notice;
 use crate::gateway::origin;
 use crate::gateway::outage;
 use crate::gateway::peers;
@@ -84,6 +86,8 @@
     pub peers: Mutex<peers::Table>,
     /// Health of upstreams.
     pub health: Mutex<health::Table>,
+    /// What upstreams announce of themselves.
+    pub notices: Mutex<notice::Table>,
     /// Requests in flight by upstream.
     pub loads: Mutex<load::Table>,
     /// Requests started at cold upstreams.
@@ -161,6 +165,7 @@
             view: Mutex::default(),
             peers: Mutex::new(peers),
             health: Mutex::default(),
+            notices: Mutex::default(),
             loads: Mutex::default(),
             cold_starts: Mutex::default(),
             prefix_cache: Mutex::default(),
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -125,7 +125,8 @@
         let usable = view.usable(boot::Instant::now());
         let engines = usable.filter(|record| {
             let service = &record.upstream.service;
-            table.as_ref().is_some_and(|table| table.is_sticky(service))
+            let is_engine = table.as_ref().is_some_and(|table| table.is_sticky(service));
+            is_engine && !lock(&state.notices).is_leaving(&record.upstream)
         });
         engines.cloned().collect()
     };
--- /dev/null
+++ b/tests/gateway_notice.rs
@@ -0,0 +1,102 @@
+//! What upstreams announce of themselves: which run it belongs to, how long it is kept, and
+//! that reports of hosts replace each other by run.
+
+use std::time::Duration;
+
+use masticmoor::gateway::notice::Report;
+use masticmoor::gateway::notice::Table;
+use masticmoor::gateway::upstream::Upstream;
+use tokio::time::Instant;
+use tokio::time::advance;
+
+fn upstream(id: &str, started_ms: u64) -> Upstream {
+    Upstream {
+        id: id.into(),
+        service: "desk".into(),
+        version: "v1".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "z1".into(),
+        slots: 8,
+        is_draining: false,
+        cold_left: Duration::ZERO,
+        started_ms: Some(started_ms),
+    }
+}
+
+fn leaving(id: &str, started_ms: u64, age_ms: u64) -> Report {
+    Report {
+        upstream: id.into(),
+        started_ms: Some(started_ms),
+        is_leaving: true,
+        age_ms,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_later_run_of_an_upstream_is_not_leaving() {
+    let mut table = Table::default();
+    let now = Instant::now();
+    assert!(table.record_leaving(now, &upstream("u1", 5)));
+    assert!(!table.record_leaving(now, &upstream("u1", 5)));
+    assert!(table.is_leaving(&upstream("u1", 5)));
+    assert!(!table.is_leaving(&upstream("u1", 6)));
+}
+
+/// A host whose copy of the store lists an earlier run sends to the one that leaves.
+#[tokio::test(start_paused = true)]
+async fn a_report_of_a_later_run_applies_while_the_earlier_one_is_listed() {
+    let mut table = Table::default();
+    let now = Instant::now();
+    assert!(table.merge(now, &leaving("u1", 6, 10)));
+    assert!(table.is_leaving(&upstream("u1", 5)));
+    assert!(!table.merge(now, &leaving("u1", 4, 0)));
+    assert!(!table.is_leaving(&upstream("u1", 7)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_notice_ends_some_time_after_it_was_last_read_by_any_host() {
+    let mut table = Table::default();
+    table.record_leaving(Instant::now(), &upstream("u1", 5));
+    advance(Duration::from_secs(500)).await;
+    // A report of the same reading doesn't renew it.
+    table.merge(Instant::now(), &leaving("u1", 5, 500_000));
+    advance(Duration::from_secs(99)).await;
+    assert_eq!(table.reports(Instant::now(), 10).len(), 1);
+    advance(Duration::from_secs(2)).await;
+    assert!(table.reports(Instant::now(), 10).is_empty());
+    assert!(!table.is_leaving(&upstream("u1", 5)));
+    assert!(!table.merge(Instant::now(), &leaving("u1", 5, 601_000)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn notices_take_limited_memory() {
+    let mut table = Table::default();
+    for number in 0..10_000 {
+        table.record_leaving(Instant::now(), &upstream(&format!("u{number}"), 5));
+        advance(Duration::from_millis(1)).await;
+    }
+    assert!(table.len() <= 8_192);
+    assert!(table.is_leaving(&upstream("u9999", 5)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_notices_are_reported_in_turn_and_news_first() {
+    let mut table = Table::default();
+    for number in 0..25 {
+        table.record_leaving(Instant::now(), &upstream(&format!("u{number}"), 5));
+    }
+    advance(Duration::from_secs(5)).await;
+    let mut reported = std::collections::BTreeSet::new();
+    for _ in 0..3 {
+        reported.extend(
+            table
+                .reports(Instant::now(), 10)
+                .into_iter()
+                .map(|it| it.upstream),
+        );
+    }
+    assert_eq!(reported.len(), 25);
+    table.record_leaving(Instant::now(), &upstream("news", 5));
+    let first = table.reports(Instant::now(), 10).into_iter().next();
+    assert_eq!(first.map(|it| it.upstream), Some("news".into()));
+}
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -21,6 +21,7 @@
 use masticmoor::boot;
 use masticmoor::gateway::State;
 use masticmoor::gateway::headers::Names;
+use masticmoor::gateway::headers::Notice;
 use masticmoor::gateway::headers::Segment;
 use masticmoor::gateway::serve;
 use masticmoor::gateway::source::Delta;
@@ -357,17 +358,25 @@
         expected: name("x-expected"),
         not_executed: name("x-not-executed"),
         receipt: name("x-receipt"),
-        leaving: name("x-leaving"),
         last_event: name("x-last"),
         origin: name("x-origin"),
         priority: name("x-priority"),
         fetch: name("x-fetch"),
         reserved: vec![name("x-reserved")],
         segments,
+        notice,
         rank: |priority| priority,
     }
 }
 
+/// Returns what an upstream announces.
+fn notice(headers: &HeaderMap) -> Notice {
+    Notice {
+        is_leaving: headers.contains_key("x-leaving"),
+        ..Notice::default()
+    }
+}
+
 /// Parses the segments of a prompt as a list of identifiers, each of a thousand tokens.
 fn segments(headers: &HeaderMap) -> Vec<Segment> {
     let text = headers.get("x-parts").map(|it| it.to_str().unwrap());
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -18,6 +18,7 @@
 #[path = "../truncation/events.rs"]
 mod events;
 mod host;
+mod leaving;
 mod settings;
 mod truncation;
 mod upstream;
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -120,6 +120,8 @@
     crashed: Notify,
     /// Whether the gateway reset a connection.
     was_reset: AtomicBool,
+    /// Header lines that all responses have from now on.
+    notice: Mutex<String>,
 }
 
 /// A running upstream.
@@ -218,6 +220,7 @@
                 endless_bytes: AtomicUsize::new(0),
                 crashed: Notify::new(),
                 was_reset: AtomicBool::new(false),
+                notice: Mutex::default(),
             }),
         }
     }
@@ -242,6 +245,11 @@
         self.shared.resumed_to.store(to, Ordering::Relaxed);
     }
 
+    /// Adds header lines to all responses from now on.
+    pub fn announce(&self, lines: &str) {
+        lines.clone_into(&mut self.shared.notice.lock().unwrap());
+    }
+
     /// Returns whether the gateway reset a connection.
     pub fn was_reset(&self) -> bool {
         self.shared.was_reset.load(Ordering::Relaxed)
@@ -299,7 +307,8 @@
             }
             _ => reaction,
         };
-        let echo = format!("x-attempt: {attempt}\r\nx-receipt: {id}\r\n");
+        let notice = shared.notice.lock().unwrap().clone();
+        let echo = format!("x-attempt: {attempt}\r\nx-receipt: {id}\r\n{notice}");
         let complete = |status: u16, headers: &str, body: &str| {
             let length = body.len();
             format!("HTTP/1.1 {status} X\r\n{headers}content-length: {length}\r\n\r\n{body}")
@@ -312,7 +321,7 @@
             }
             Step::Foreign => complete(200, "x-attempt: other\r\nx-receipt: r\r\n", "not yours"),
             Step::Reject => complete(503, &format!("{echo}x-not-executed: 1\r\n"), "full"),
-            Step::Misdirected => complete(421, "", ""),
+            Step::Misdirected => complete(421, &notice, ""),
             Step::Reset | Step::ResetLate => {
                 if matches!(step, Step::ResetLate) {
                     tokio::time::sleep(SLOW_DELAY).await;
