Keep the load that users allow where few upstreams can be chosen

Cause: where all upstreams that can be chosen are above their caps, the least loaded of them was taken, up to two requests a slot. That is harmless if all can be chosen: the least loaded is below the mean. It isn't if the others leave, or the stream is bound to a version that few run.

Change: the last resort is capped too, at twice the mean and 2.5, in both policies. The mean counts all sound upstreams, chosen or not. Upstreams that fail or are cold don't count: their share has to go somewhere.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -17,6 +17,13 @@
     margin: f64,
 }
 
+impl Cap {
+    /// Returns whether an upstream is below the cap.
+    fn allows(self, mean: f64, it: &Candidate<'_>) -> bool {
+        f64::from(it.load) < mean * self.multiple + self.margin
+    }
+}
+
 /// Caps for engines that hold the prompt, each with the shortest prompt in tokens
 /// that it applies to, longest first.
 ///
@@ -70,6 +77,20 @@
     pub is_holder: bool,
 }
 
+/// Mean loads of the upstreams of a service, in requests of all hosts in flight.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Mean {
+    /// Of all that are listed, also those of an evacuated zone, since users count them too.
+    pub listed: f64,
+    /// Of those that don't fail and aren't cold, also if they can't be chosen: those that
+    /// leave, are limited or have another version.
+    pub sound: f64,
+}
+
+/// Limit on the load of an upstream when all that can be chosen are above their caps. Users
+/// allow twice the mean load plus three requests, also if few can be chosen.
+const FALLBACK_CAP: Cap = cap(2.0, 2.5);
+
 const fn cap(multiple: f64, margin: f64) -> Cap {
     Cap { multiple, margin }
 }
@@ -108,18 +129,16 @@
 ///
 /// Of the engines below their caps, it takes the least loaded that holds the prefix,
 /// the caller's zone first, or else the first in the prefix's rendezvous order. If
-/// all are above their caps, it takes the least loaded, up to two requests per slot.
-/// `mean` is the mean load of all engines listed for the service, those of an
-/// evacuated zone included, since users count them too. Unless `may_probe`, an
-/// upstream that is due for a probe is used only if no healthy one remains.
-pub fn engine(prompt: Prompt, mean: f64, candidates: &[Candidate<'_>], may_probe: bool) -> Choice {
+/// all are above their caps, it takes the least loaded, up to two requests per slot and
+/// the load that users allow. Unless `may_probe`, an upstream that is due for a probe is
+/// used only if no healthy one remains.
+pub fn engine(prompt: Prompt, mean: Mean, candidates: &[Candidate<'_>], may_probe: bool) -> Choice {
     let eligible = match eligible(candidates, may_probe) {
         Ok(eligible) => eligible,
         Err(choice) => return choice,
     };
-    let is_below_cap = |it: &Candidate<'_>, cap: Cap| {
-        f64::from(it.load) < mean * cap.multiple + cap.margin && it.load < it.slots
-    };
+    let is_below_cap =
+        |it: &Candidate<'_>, cap: Cap| cap.allows(mean.listed, it) && it.load < it.slots;
     let tier = HOLDER_CAPS
         .iter()
         .find(|(tokens, _)| prompt.tokens >= *tokens);
@@ -147,7 +166,9 @@
     };
     let anywhere = || holding(&is_anywhere).or_else(|| ranked(&is_anywhere));
     match local.or_else(anywhere).or(least_loaded) {
-        Some((index, it)) if it.load < it.slots.saturating_mul(2) => Choice::Send(*index),
+        Some((index, it)) if it.load < it.slots.saturating_mul(2) && may_exceed(mean, it) => {
+            Choice::Send(*index)
+        }
         Some(_) => Choice::Wait,
         None => Choice::NoUpstream,
     }
@@ -170,7 +191,7 @@
 ///
 /// `draw` is uniform in 0..1 and breaks ties. Unless `may_probe`, an upstream that
 /// is due for a probe is used only if no healthy one remains.
-pub fn plain(draw: f64, candidates: &[Candidate<'_>], may_probe: bool) -> Choice {
+pub fn plain(draw: f64, mean: Mean, candidates: &[Candidate<'_>], may_probe: bool) -> Choice {
     let eligible = match eligible(candidates, may_probe) {
         Ok(eligible) => eligible,
         Err(choice) => return choice,
@@ -183,17 +204,29 @@
     let least_loaded = |(_, a): &&(usize, &Candidate<'_>), (_, b): &&(usize, &Candidate<'_>)| {
         cost(a).total_cmp(&cost(b))
     };
-    let local = rotated().filter(|(_, it)| it.is_local && cost(it) < LOCAL_SLOT_LIMIT);
+    let has_spare = |it: &Candidate<'_>| cost(it) < LOCAL_SLOT_LIMIT && may_exceed(mean, it);
+    let local = rotated().filter(|(_, it)| it.is_local && has_spare(it));
     match local
         .min_by(least_loaded)
         .or_else(|| rotated().min_by(least_loaded))
     {
-        Some((index, it)) if it.load < it.slots.saturating_mul(SLOT_LIMIT) => Choice::Send(*index),
+        Some((index, it))
+            if it.load < it.slots.saturating_mul(SLOT_LIMIT) && may_exceed(mean, it) =>
+        {
+            Choice::Send(*index)
+        }
         Some(_) => Choice::Wait,
         None => Choice::NoUpstream,
     }
 }
 
+/// Returns whether an upstream above its cap may get a request: not if few can be chosen and it
+/// would get much more than the others. One that fails is used only where all do, and then
+/// without that limit.
+fn may_exceed(mean: Mean, it: &Candidate<'_>) -> bool {
+    it.status != Status::Healthy || FALLBACK_CAP.allows(mean.sound, it)
+}
+
 /// Returns the candidates that may get the request now, with their indices.
 ///
 /// A suspect upstream, or one that the request was sent to before, is used only if
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -108,14 +108,18 @@
                 })
                 .collect();
             let may_probe = job.route.kind.is_repeatable();
-            let listed = view.listed(&job.service);
-            let listed = listed.map(|record| loads.total(&record.upstream.id));
-            let (total, count) =
-                listed.fold((0, 0_u32), |(total, count), load| (total + load, count + 1));
-            let mean = f64::from(total) / f64::from(count.max(1));
+            let load = |record: &Arc<Record>| loads.total(&record.upstream.id);
+            let is_sound = |record: &&Arc<Record>| {
+                let is_failing = matches!(status(record), Status::Suspect | Status::Down);
+                !is_failing && record.cold_until <= boot_now
+            };
+            let mean = placement::Mean {
+                listed: mean_of(view.listed(&job.service).map(load)),
+                sound: mean_of(view.listed(&job.service).filter(is_sound).map(load)),
+            };
             let choice = match job.route.is_sticky {
                 true => placement::engine(job.prompt, mean, &candidates, may_probe),
-                false => placement::plain(self.random_fraction(), &candidates, may_probe),
+                false => placement::plain(self.random_fraction(), mean, &candidates, may_probe),
             };
             let condition = match choice {
                 Choice::Send(index) => candidates.get(index).map(|it| Condition {
@@ -253,6 +257,12 @@
     }
 }
 
+/// Returns the mean of some loads, zero for none.
+fn mean_of(loads: impl Iterator<Item = u32>) -> f64 {
+    let (total, count) = loads.fold((0, 0_u32), |(total, count), load| (total + load, count + 1));
+    f64::from(total) / f64::from(count.max(1))
+}
+
 /// Returns whether `held` segments are the whole shared prompt of a request.
 fn is_complete(held: usize, job: &Job) -> bool {
     held > 0 && held == job.segments.len()
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -5,8 +5,11 @@
 use masticmoor::gateway::placement::Candidate;
 use masticmoor::gateway::placement::Choice;
 use masticmoor::gateway::placement::Holder;
+use masticmoor::gateway::placement::Mean;
 use masticmoor::gateway::placement::Prompt;
 use masticmoor::ident::Upstream;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 const LONG_PROMPT_TOKENS: u64 = 10_000;
@@ -38,12 +41,24 @@
 }
 
 fn engine_at(key: u64, tokens: u64, mean: f64, candidates: &[Candidate<'_>]) -> Choice {
-    placement::engine(Prompt { key, tokens }, mean, candidates, true)
+    placement::engine(Prompt { key, tokens }, same(mean), candidates, true)
+}
+
+/// Returns the means of a service whose upstreams are all sound.
+fn same(mean: f64) -> Mean {
+    Mean {
+        listed: mean,
+        sound: mean,
+    }
+}
+
+fn plain(draw: f64, candidates: &[Candidate<'_>], may_probe: bool) -> Choice {
+    placement::plain(draw, same(mean(candidates)), candidates, may_probe)
 }
 
 fn mean(candidates: &[Candidate<'_>]) -> f64 {
     let total: u32 = candidates.iter().map(|it| it.load).sum();
-    f64::from(total) / candidates.len() as f64
+    f64::from(total) / candidates.len().max(1) as f64
 }
 
 /// With a third of the engines idle in an evacuated zone, the mean load of all engines is
@@ -154,7 +169,7 @@
         true => Choice::Send(0),
         false => Choice::Wait,
     };
-    assert_eq!(placement::plain(0.0, &all, may_probe), expected);
+    assert_eq!(plain(0.0, &all, may_probe), expected);
 }
 
 /// A request that may run only once would be lost if the upstream has not recovered.
@@ -164,8 +179,8 @@
     let mut all = candidates(&ids);
     all[0].status = Status::Probe;
     all[1].load = 1;
-    assert_eq!(placement::plain(0.0, &all, true), Choice::Send(0));
-    assert_eq!(placement::plain(0.0, &all, false), Choice::Send(1));
+    assert_eq!(plain(0.0, &all, true), Choice::Send(0));
+    assert_eq!(plain(0.0, &all, false), Choice::Send(1));
 }
 
 #[test]
@@ -186,13 +201,13 @@
     let ids = ids(2);
     let mut all = candidates(&ids);
     all[0].is_tried = true;
-    assert_eq!(placement::plain(0.9, &all, true), Choice::Send(1));
+    assert_eq!(plain(0.9, &all, true), Choice::Send(1));
     all[1].status = Status::Down;
-    assert_eq!(placement::plain(0.9, &all, true), Choice::Send(0));
+    assert_eq!(plain(0.9, &all, true), Choice::Send(0));
     // An upstream that fails many requests is better than an unreachable one.
     all[0].status = Status::Down;
     all[1].status = Status::Suspect;
-    assert_eq!(placement::plain(0.9, &all, true), Choice::Send(1));
+    assert_eq!(plain(0.9, &all, true), Choice::Send(1));
 }
 
 #[test]
@@ -203,9 +218,20 @@
     all[1].slots = 6;
     all[1].is_local = false;
     all[0].load = 4;
-    assert_eq!(placement::plain(0.5, &all, true), Choice::Send(0));
+    assert_eq!(plain(0.5, &all, true), Choice::Send(0));
     all[0].load = 5;
-    assert_eq!(placement::plain(0.5, &all, true), Choice::Send(1));
+    assert_eq!(plain(0.5, &all, true), Choice::Send(1));
+}
+
+#[test]
+fn a_plain_upstream_of_the_zone_above_the_load_that_users_allow_is_passed_over() {
+    let ids = ids(8);
+    let mut all = candidates(&ids);
+    for remote in &mut all[1..] {
+        remote.is_local = false;
+    }
+    all[0].load = 4;
+    assert!(matches!(plain(0.0, &all, true), Choice::Send(at) if at > 0));
 }
 
 #[test]
@@ -216,8 +242,8 @@
         candidate.slots = 6;
         candidate.load = 18;
     }
-    assert_eq!(placement::plain(0.5, &all, true), Choice::Wait);
-    assert_eq!(placement::plain(0.5, &[], true), Choice::NoUpstream);
+    assert_eq!(plain(0.5, &all, true), Choice::Wait);
+    assert_eq!(plain(0.5, &[], true), Choice::NoUpstream);
 }
 
 fn holder(status: Status, is_draining: bool) -> Holder {
@@ -243,3 +269,78 @@
 ) {
     assert_eq!(placement::holder(&holders), chosen);
 }
+
+/// Requests that are bound to a version, or may go to few upstreams since the others leave,
+/// would all go to those.
+#[rstest]
+#[case::much_above(16, 5.0, Choice::Wait)]
+#[case::just_above(13, 5.0, Choice::Wait)]
+#[case::just_below(12, 5.0, Choice::Send(0))]
+#[case::little_load(2, 0.4, Choice::Send(0))]
+fn the_only_upstream_left_does_not_exceed_the_load_that_users_allow(
+    #[case] load: u32,
+    #[case] mean: f64,
+    #[case] expected: Choice,
+    #[values(false, true)] is_holder: bool,
+) {
+    let ids = ids(1);
+    let mut all = candidates(&ids);
+    all[0].load = load;
+    all[0].is_holder = is_holder;
+    assert_eq!(engine_at(1, LONG_PROMPT_TOKENS, mean, &all), expected);
+    assert_eq!(placement::plain(0.5, same(mean), &all, true), expected);
+}
+
+/// Upstreams that fail hold little, but their share has to go somewhere.
+#[test]
+fn the_only_sound_upstream_may_exceed_the_mean_of_all() {
+    let ids = ids(1);
+    let mut all = candidates(&ids);
+    all[0].load = 20;
+    let mean = Mean {
+        listed: 20.0 / 9.0,
+        sound: 20.0,
+    };
+    let prompt = Prompt {
+        key: 1,
+        tokens: LONG_PROMPT_TOKENS,
+    };
+    let choice = placement::engine(prompt, mean, &all, true);
+    assert_eq!(choice, Choice::Send(0));
+    all[0].status = Status::Suspect;
+    let choice = placement::engine(prompt, same(2.0), &all, true);
+    assert_eq!(choice, Choice::Send(0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(3),
+        ..ProptestConfig::with_cases(512)
+    })]
+
+    #[test]
+    fn whichever_upstreams_can_be_chosen_none_exceeds_the_load_that_users_allow(
+        loads in prop::collection::vec((0_u32..40, any::<bool>(), any::<bool>()), 1..12),
+        tokens in prop::sample::select(vec![SHORT_PROMPT_TOKENS, LONG_PROMPT_TOKENS]),
+    ) {
+        let ids = ids(loads.len());
+        let mut all = candidates(&ids);
+        for (candidate, (load, is_holder, _)) in all.iter_mut().zip(&loads) {
+            candidate.load = *load;
+            candidate.is_holder = *is_holder;
+        }
+        let mean = mean(&all);
+        let mut can_be_chosen = loads.iter().map(|(_, _, can)| *can);
+        all.retain(|_| can_be_chosen.next() == Some(true));
+        let choices = [
+            engine_at(9, tokens, mean, &all),
+            placement::plain(0.3, same(mean), &all, true),
+        ];
+        for choice in choices {
+            if let Choice::Send(at) = choice {
+                let load = f64::from(all[at].load);
+                prop_assert!(load <= 2.0 * mean + 3.0, "{load} at a mean of {mean}");
+            }
+        }
+    }
+}
