Send an upstream nothing for the time for which it asks this host

Cause: a 503 with Retry-After was one failure among others.

The upstream is out of this host's placement until then, and other hosts go on. If all that could serve rest, the caller is refused at once with the soonest time.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -218,7 +218,10 @@
     tried.push(upstream.clone());
     let lease = match state.choose(job, &tried, history.version.as_ref()) {
         Selection::Selected(lease) if !tried.contains(&lease.record.upstream.id) => lease,
-        Selection::Selected(_) | Selection::Wait(_) | Selection::NoUpstream => return None,
+        Selection::Selected(_)
+        | Selection::Wait(_)
+        | Selection::Resting(_)
+        | Selection::NoUpstream => return None,
     };
     may_retry(state, job).then_some(lease)
 }
@@ -267,7 +270,13 @@
 
 /// Records what an upstream announced of itself in a response, and reports news to other hosts
 /// at once.
-fn record_notice(state: &State, job: &Job, upstream: &Upstream, notice: &Notice) {
+fn record_notice(
+    state: &State,
+    job: &Job,
+    upstream: &Upstream,
+    status: http::StatusCode,
+    notice: &Notice,
+) {
     for header in &notice.invalid {
         warn!(id = job.id, upstream = %upstream.id, %header, "upstream: unreadable header, ignored");
     }
@@ -278,6 +287,14 @@
         state.meter.noticed("leaving");
         state.gossip_urgent.notify_one();
     }
+    let is_turned_away = status == http::StatusCode::SERVICE_UNAVAILABLE;
+    if let Some(rest) = notice.rest.filter(|_| is_turned_away)
+        && lock(&state.notices).record_rest(now, upstream, rest)
+    {
+        info!(id = job.id, upstream = %upstream.id, rest_ms = millis(rest),
+            "upstream: asks for rest");
+        state.meter.noticed("rest");
+    }
 }
 
 /// Spends a retry of this host's budget, and returns whether there was one left.
@@ -336,6 +353,16 @@
                 return Err(abandon(history, code, RETRY_AFTER_NO_UPSTREAM));
             }
             Selection::Wait(summary) => summary,
+            Selection::Resting(left) => {
+                let now = Instant::now();
+                if now + left >= wait_until {
+                    info!(id = job.id, service = %job.service, left_ms = millis(left),
+                        "request: all upstreams rest");
+                    return Err(abandon(history, Code::Full, left));
+                }
+                tokio::time::sleep(left).await;
+                continue;
+            }
         };
         let now = Instant::now();
         if now >= wait_until {
@@ -423,7 +450,8 @@
     }
     // Another upstream has this one's address now, and speaks of itself.
     if parts.status != http::StatusCode::MISDIRECTED_REQUEST {
-        record_notice(state, job, upstream, &(names.notice)(&parts.headers));
+        let notice = (names.notice)(&parts.headers);
+        record_notice(state, job, upstream, parts.status, &notice);
     }
     if not_executed {
         history.runs -= 1;
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -1,5 +1,7 @@
 //! Names of the platform's headers, as its adapter defines them.
 
+use std::time::Duration;
+
 use http::HeaderMap;
 use http::HeaderName;
 
@@ -18,6 +20,8 @@
 pub struct Notice {
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// How long it wants no requests from this host, if it turned one away.
+    pub rest: Option<Duration>,
     /// The headers whose values can't be read, which are ignored.
     pub invalid: Vec<HeaderName>,
 }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -39,6 +39,16 @@
     pub age_ms: u64,
 }
 
+/// Maximum time for which an upstream gets no requests because it asked for rest.
+const MAX_REST: Duration = Duration::from_secs(60);
+
+/// A time in which an upstream gets no requests of this host.
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    started_ms: Option<u64>,
+    until: Instant,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     started_ms: Option<u64>,
@@ -53,6 +63,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     entries: BTreeMap<ident::Upstream, Entry>,
+    /// Upstreams that asked this host for rest. Other hosts aren't meant.
+    rests: BTreeMap<ident::Upstream, Rest>,
     /// Number of notices reported so far, to rotate them.
     offset: usize,
 }
@@ -81,6 +93,28 @@
         entry.is_some_and(|entry| entry.is_leaving && entry.started_ms >= upstream.started_ms)
     }
 
+    /// Records that an upstream asked this host for rest, and returns whether it had no rest
+    /// so far.
+    pub fn record_rest(&mut self, now: Instant, upstream: &Upstream, rest: Duration) -> bool {
+        let left = self.rest_left(now, upstream);
+        let until = now + rest.min(MAX_REST).max(left.unwrap_or_default());
+        self.rests.retain(|_, rest| rest.until > now);
+        if self.rests.len() < MAX_ENTRIES {
+            let started_ms = upstream.started_ms;
+            let rest = Rest { started_ms, until };
+            self.rests.insert(upstream.id.clone(), rest);
+        }
+        left.is_none()
+    }
+
+    /// Returns how much longer an upstream gets no requests of this host; `None` if it may get
+    /// some. Another run of its process isn't meant.
+    pub fn rest_left(&self, now: Instant, upstream: &Upstream) -> Option<Duration> {
+        let rest = self.rests.get(&upstream.id)?;
+        let is_current = rest.started_ms == upstream.started_ms && rest.until > now;
+        is_current.then(|| rest.until - now)
+    }
+
     /// Returns notices for a message, the news first. Each call continues after the others
     /// of the call before.
     pub fn reports(&mut self, now: Instant, limit: usize) -> Vec<Report> {
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -53,6 +53,10 @@
             .filter(|record| version.is_none_or(|it| record.upstream.version == *it))
             .filter(|record| !self.is_leaving(record))
             .collect();
+        let (usable, soonest) = self.without_resting(now, usable);
+        if let Some(left) = soonest.filter(|_| usable.is_empty()) {
+            return Selection::Resting(left);
+        }
         let cold_limit = view.route_table().and_then(|table| {
             let service = table.service(&job.service)?;
             let per_second = service.cold_requests_per_second?;
@@ -177,6 +181,22 @@
         lock(&self.notices).is_leaving(&record.upstream)
     }
 
+    /// Removes the upstreams that asked this host for rest, and returns the shortest time until
+    /// one of them may get requests again.
+    fn without_resting<'a>(
+        &self,
+        now: Instant,
+        mut usable: Vec<&'a Arc<Record>>,
+    ) -> (Vec<&'a Arc<Record>>, Option<Duration>) {
+        let notices = lock(&self.notices);
+        let left = |record: &&Arc<Record>| notices.rest_left(now, &record.upstream);
+        let soonest = usable.iter().filter_map(left).min();
+        if soonest.is_some() {
+            usable.retain(|record| left(record).is_none());
+        }
+        (usable, soonest)
+    }
+
     /// Returns another engine that holds more leading segments of a request's
     /// prompt than `upstream` does.
     fn find_holder(
@@ -320,6 +340,8 @@
     Selected(Lease),
     /// The request has to wait until an upstream has a free slot or becomes usable.
     Wait(Summary),
+    /// All upstreams asked this host for rest, the first of them for this much longer.
+    Resting(Duration),
     /// No upstream runs the service.
     NoUpstream,
 }
--- a/tests/gateway_notice.rs
+++ b/tests/gateway_notice.rs
@@ -100,3 +100,20 @@
     let first = table.reports(Instant::now(), 10).into_iter().next();
     assert_eq!(first.map(|it| it.upstream), Some("news".into()));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_rest_ends_in_time_and_is_bounded_and_belongs_to_one_run() {
+    let mut table = Table::default();
+    let one = upstream("u1", 5);
+    let now = Instant::now();
+    assert!(table.record_rest(now, &one, Duration::from_millis(1_500)));
+    assert!(!table.record_rest(now, &one, Duration::from_millis(200)));
+    let left = table.rest_left(now, &one);
+    assert_eq!(left, Some(Duration::from_millis(1_500)));
+    assert_eq!(table.rest_left(now, &upstream("u1", 6)), None);
+    advance(Duration::from_millis(1_500)).await;
+    assert_eq!(table.rest_left(Instant::now(), &one), None);
+    table.record_rest(Instant::now(), &one, Duration::from_secs(1_000_000));
+    advance(Duration::from_secs(60)).await;
+    assert_eq!(table.rest_left(Instant::now(), &one), None);
+}
--- a/tests/gateway_path/leaving.rs
+++ b/tests/gateway_path/leaving.rs
@@ -29,12 +29,13 @@
 /// Sends requests until the upstream that leaves has responded to one of them.
 async fn send_until_announced(host: &Host, leaving: &Upstream) {
     leaving.announce(LEAVING);
-    for number in 0.. {
+    for number in 0..200 {
         caller::send(host.caller, &format!("a{number}"), &[]).await;
         if !leaving.requests().is_empty() {
             return;
         }
     }
+    panic!("the upstream got no request");
 }
 
 async fn send_many(host: &Host, name: &str) {
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -19,6 +19,7 @@
 mod events;
 mod host;
 mod leaving;
+mod rest;
 mod settings;
 mod truncation;
 mod upstream;
