Read and log the limits that upstreams name

The logs couldn't tell whether an upstream had named a limit, nor which host knew. The limit is part of what an upstream states in its responses, and is reported to other hosts with it; the one that any host read last holds. No decision uses it yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -274,17 +274,25 @@
     state: &State,
     job: &Job,
     upstream: &Upstream,
-    status: http::StatusCode,
+    (sent, status): (Instant, http::StatusCode),
     notice: &Notice,
 ) {
     for header in &notice.invalid {
         warn!(id = job.id, upstream = %upstream.id, %header, "upstream: unreadable header, ignored");
     }
     let now = Instant::now();
-    if notice.is_leaving && lock(&state.notices).record_leaving(now, upstream) {
+    let news = lock(&state.notices).record(now, sent, upstream, notice);
+    if news.is_leaving {
         info!(id = job.id, upstream = %upstream.id, is_draining = upstream.is_draining,
             "upstream: announces that it leaves");
         state.meter.noticed("leaving");
+    }
+    if news.is_limit_changed {
+        info!(id = job.id, upstream = %upstream.id, limit = notice.limit,
+            "upstream: limit changed");
+        state.meter.noticed("limit");
+    }
+    if news.is_any() {
         state.gossip_urgent.notify_one();
     }
     let is_turned_away = status == http::StatusCode::SERVICE_UNAVAILABLE;
@@ -451,7 +459,7 @@
     // Another upstream has this one's address now, and speaks of itself.
     if parts.status != http::StatusCode::MISDIRECTED_REQUEST {
         let notice = (names.notice)(&parts.headers);
-        record_notice(state, job, upstream, parts.status, &notice);
+        record_notice(state, job, upstream, (sent, parts.status), &notice);
     }
     if not_executed {
         history.runs -= 1;
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -23,7 +23,7 @@
 use crate::policy::quarantine;
 
 /// Version of the format.
-pub const VERSION: u8 = 7;
+pub const VERSION: u8 = 8;
 
 /// Maximum size of a datagram that is not fragmented.
 pub const DATAGRAM_BYTES: usize = 1_400;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -412,9 +412,14 @@
 /// Merges what other hosts read in responses of upstreams.
 fn merge_notices(state: &State, now: Instant, reports: &[notice::Report]) {
     for report in reports {
-        if lock(&state.notices).merge(now, report) {
-            info!(upstream = %report.upstream, age_ms = report.age_ms,
-                "upstream: announced to another host that it leaves");
+        let news = lock(&state.notices).merge(now, report);
+        let (upstream, age_ms) = (&report.upstream, report.age_ms);
+        if news.is_leaving {
+            info!(%upstream, age_ms, "upstream: announced to another host that it leaves");
+        }
+        if news.is_limit_changed {
+            let limit = report.limit;
+            info!(%upstream, age_ms, limit, "upstream: limit changed, as another host read");
         }
     }
 }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -20,6 +20,8 @@
 pub struct Notice {
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Requests per second that it takes from all hosts together.
+    pub limit: Option<f64>,
     /// How long it wants no requests from this host, if it turned one away.
     pub rest: Option<Duration>,
     /// The headers whose values can't be read, which are ignored.
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::gateway::headers::Notice;
 use crate::gateway::upstream::Upstream;
 use crate::ident;
 use crate::log::millis;
@@ -35,6 +36,8 @@
     pub started_ms: Option<u64>,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Requests per second that it takes from all hosts together, if it names a limit.
+    pub limit: Option<f64>,
     /// Time since a host read it in a response, in milliseconds.
     pub age_ms: u64,
 }
@@ -49,10 +52,34 @@
     until: Instant,
 }
 
+/// What a response announced.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Statement {
+    is_leaving: bool,
+    /// Requests per second that the upstream takes from all hosts together.
+    limit: Option<f64>,
+}
+
+/// What a report or a response changed of what this host knew.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// The upstream leaves.
+    pub is_leaving: bool,
+    /// The upstream has another limit, or none any more.
+    pub is_limit_changed: bool,
+}
+
+impl News {
+    /// Returns whether anything changed.
+    pub fn is_any(&self) -> bool {
+        self.is_leaving || self.is_limit_changed
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     started_ms: Option<u64>,
-    is_leaving: bool,
+    statement: Statement,
     /// When a host last read it in a response.
     read_at: Instant,
     /// When this host learned what it didn't know before.
@@ -70,27 +97,64 @@
 }
 
 impl Table {
-    /// Records that an upstream announced in a response that it leaves, and returns whether
-    /// this is news.
-    pub fn record_leaving(&mut self, now: Instant, upstream: &Upstream) -> bool {
-        self.insert(now, &upstream.id, upstream.started_ms, now)
+    /// Records what an upstream announced in the response to a request that was sent at `sent`,
+    /// and returns what is news.
+    ///
+    /// A response without a limit ends one only if its request was sent after the limit was
+    /// last read: responses may overtake each other.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        upstream: &Upstream,
+        notice: &Notice,
+    ) -> News {
+        let statement = Statement {
+            is_leaving: notice.is_leaving,
+            limit: notice.limit,
+        };
+        let known = self.entries.get(&upstream.id);
+        let is_overtaken = known.is_some_and(|entry| sent < entry.read_at);
+        match (known, statement) {
+            (None, statement) if statement == Statement::default() => return News::default(),
+            (Some(_), Statement { limit: None, .. }) if is_overtaken && !notice.is_leaving => {
+                return News::default();
+            }
+            _ => {}
+        }
+        self.insert(now, &upstream.id, upstream.started_ms, statement, now)
     }
 
-    /// Merges another host's report, and returns whether it is news.
-    pub fn merge(&mut self, now: Instant, report: &Report) -> bool {
+    /// Merges another host's report, and returns what is news.
+    pub fn merge(&mut self, now: Instant, report: &Report) -> News {
         let age = Duration::from_millis(report.age_ms);
-        if !report.is_leaving || age >= RETENTION {
-            return false;
+        let is_sound = report.limit.is_none_or(|it| it.is_finite() && it >= 0.0);
+        if !is_sound || age >= RETENTION {
+            return News::default();
         }
+        let statement = Statement {
+            is_leaving: report.is_leaving,
+            limit: report.limit,
+        };
         let read_at = now.checked_sub(age).unwrap_or(now);
-        self.insert(now, &report.upstream, report.started_ms, read_at)
+        self.insert(now, &report.upstream, report.started_ms, statement, read_at)
     }
 
     /// Returns whether an upstream has announced that it leaves. Another run of its process
     /// isn't meant.
     pub fn is_leaving(&self, upstream: &Upstream) -> bool {
         let entry = self.entries.get(&upstream.id);
-        entry.is_some_and(|entry| entry.is_leaving && entry.started_ms >= upstream.started_ms)
+        entry.is_some_and(|entry| {
+            entry.statement.is_leaving && entry.started_ms >= upstream.started_ms
+        })
+    }
+
+    /// Returns the requests per second that an upstream takes from all hosts together, if it
+    /// has named a limit.
+    pub fn limit(&self, upstream: &Upstream) -> Option<f64> {
+        let entry = self.entries.get(&upstream.id);
+        let entry = entry.filter(|entry| entry.started_ms >= upstream.started_ms)?;
+        entry.statement.limit
     }
 
     /// Records that an upstream asked this host for rest, and returns whether it had no rest
@@ -129,7 +193,8 @@
         let reports = reports.map(|(upstream, entry)| Report {
             upstream: upstream.clone(),
             started_ms: entry.started_ms,
-            is_leaving: entry.is_leaving,
+            is_leaving: entry.statement.is_leaving,
+            limit: entry.statement.limit,
             age_ms: millis(now.duration_since(entry.read_at)),
         });
         let reports = reports.collect();
@@ -147,35 +212,59 @@
         self.entries.is_empty()
     }
 
+    /// Records a statement of a run of an upstream that was read at a time, and returns what is
+    /// news. The one that was read last holds, but an upstream that leaves doesn't return.
     fn insert(
         &mut self,
         now: Instant,
         upstream: &ident::Upstream,
         started_ms: Option<u64>,
+        statement: Statement,
         read_at: Instant,
-    ) -> bool {
-        if let Some(entry) = self.entries.get_mut(upstream)
-            && entry.started_ms >= started_ms
-        {
-            let is_same_run = entry.started_ms == started_ms;
-            if is_same_run {
-                entry.read_at = entry.read_at.max(read_at);
+    ) -> News {
+        let known = self.entries.get(upstream);
+        let known = known.filter(|entry| entry.started_ms >= started_ms);
+        let (old, statement) = match known {
+            Some(entry) if entry.started_ms > started_ms => return News::default(),
+            Some(entry) => {
+                let old = entry.statement;
+                let limit = match read_at > entry.read_at {
+                    true => statement.limit,
+                    false => old.limit,
+                };
+                let is_leaving = old.is_leaving || statement.is_leaving;
+                (old, Statement { is_leaving, limit })
             }
-            return false;
-        }
-        if self.entries.len() >= MAX_ENTRIES {
-            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.read_at);
-            let oldest = oldest.map(|(upstream, _)| upstream.clone());
-            oldest.and_then(|upstream| self.entries.remove(&upstream));
+            None => (Statement::default(), statement),
+        };
+        let news = News {
+            is_leaving: statement.is_leaving && !old.is_leaving,
+            is_limit_changed: statement.limit != old.limit,
+        };
+        let learned_at = known.filter(|_| !news.is_any()).map(|it| it.learned_at);
+        let read_at = known.map_or(read_at, |it| it.read_at.max(read_at));
+        if known.is_none() && statement == Statement::default() {
+            return News::default();
         }
+        self.make_room(upstream);
         let entry = Entry {
             started_ms,
-            is_leaving: true,
+            statement,
             read_at,
-            learned_at: now,
+            learned_at: learned_at.unwrap_or(now),
         };
         self.entries.insert(upstream.clone(), entry);
-        true
+        news
+    }
+
+    /// Removes the oldest entry if there is no room for that of an upstream.
+    fn make_room(&mut self, upstream: &ident::Upstream) {
+        if self.entries.len() < MAX_ENTRIES || self.entries.contains_key(upstream) {
+            return;
+        }
+        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.read_at);
+        let oldest = oldest.map(|(upstream, _)| upstream.clone());
+        oldest.and_then(|upstream| self.entries.remove(&upstream));
     }
 
     fn expire(&mut self, now: Instant) {
--- a/tests/gateway_notice.rs
+++ b/tests/gateway_notice.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use masticmoor::gateway::headers::Notice;
 use masticmoor::gateway::notice::Report;
 use masticmoor::gateway::notice::Table;
 use masticmoor::gateway::upstream::Upstream;
@@ -28,16 +29,26 @@
         upstream: id.into(),
         started_ms: Some(started_ms),
         is_leaving: true,
+        limit: None,
         age_ms,
     }
 }
 
+/// Records that an upstream announced that it leaves, and returns whether this is news.
+fn record_leaving(table: &mut Table, now: Instant, upstream: &Upstream) -> bool {
+    let notice = Notice {
+        is_leaving: true,
+        ..Notice::default()
+    };
+    table.record(now, now, upstream, &notice).is_leaving
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_later_run_of_an_upstream_is_not_leaving() {
     let mut table = Table::default();
     let now = Instant::now();
-    assert!(table.record_leaving(now, &upstream("u1", 5)));
-    assert!(!table.record_leaving(now, &upstream("u1", 5)));
+    assert!(record_leaving(&mut table, now, &upstream("u1", 5)));
+    assert!(!record_leaving(&mut table, now, &upstream("u1", 5)));
     assert!(table.is_leaving(&upstream("u1", 5)));
     assert!(!table.is_leaving(&upstream("u1", 6)));
 }
@@ -47,16 +58,16 @@
 async fn a_report_of_a_later_run_applies_while_the_earlier_one_is_listed() {
     let mut table = Table::default();
     let now = Instant::now();
-    assert!(table.merge(now, &leaving("u1", 6, 10)));
+    assert!(table.merge(now, &leaving("u1", 6, 10)).is_any());
     assert!(table.is_leaving(&upstream("u1", 5)));
-    assert!(!table.merge(now, &leaving("u1", 4, 0)));
+    assert!(!table.merge(now, &leaving("u1", 4, 0)).is_any());
     assert!(!table.is_leaving(&upstream("u1", 7)));
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_notice_ends_some_time_after_it_was_last_read_by_any_host() {
     let mut table = Table::default();
-    table.record_leaving(Instant::now(), &upstream("u1", 5));
+    record_leaving(&mut table, Instant::now(), &upstream("u1", 5));
     advance(Duration::from_secs(500)).await;
     // A report of the same reading doesn't renew it.
     table.merge(Instant::now(), &leaving("u1", 5, 500_000));
@@ -65,14 +76,19 @@
     advance(Duration::from_secs(2)).await;
     assert!(table.reports(Instant::now(), 10).is_empty());
     assert!(!table.is_leaving(&upstream("u1", 5)));
-    assert!(!table.merge(Instant::now(), &leaving("u1", 5, 601_000)));
+    let late = leaving("u1", 5, 601_000);
+    assert!(!table.merge(Instant::now(), &late).is_any());
 }
 
 #[tokio::test(start_paused = true)]
 async fn notices_take_limited_memory() {
     let mut table = Table::default();
     for number in 0..10_000 {
-        table.record_leaving(Instant::now(), &upstream(&format!("u{number}"), 5));
+        record_leaving(
+            &mut table,
+            Instant::now(),
+            &upstream(&format!("u{number}"), 5),
+        );
         advance(Duration::from_millis(1)).await;
     }
     assert!(table.len() <= 8_192);
@@ -83,7 +99,11 @@
 async fn all_notices_are_reported_in_turn_and_news_first() {
     let mut table = Table::default();
     for number in 0..25 {
-        table.record_leaving(Instant::now(), &upstream(&format!("u{number}"), 5));
+        record_leaving(
+            &mut table,
+            Instant::now(),
+            &upstream(&format!("u{number}"), 5),
+        );
     }
     advance(Duration::from_secs(5)).await;
     let mut reported = std::collections::BTreeSet::new();
@@ -96,7 +116,7 @@
         );
     }
     assert_eq!(reported.len(), 25);
-    table.record_leaving(Instant::now(), &upstream("news", 5));
+    record_leaving(&mut table, Instant::now(), &upstream("news", 5));
     let first = table.reports(Instant::now(), 10).into_iter().next();
     assert_eq!(first.map(|it| it.upstream), Some("news".into()));
 }
@@ -117,3 +137,49 @@
     advance(Duration::from_secs(60)).await;
     assert_eq!(table.rest_left(Instant::now(), &one), None);
 }
+
+fn limited(limit: Option<f64>) -> Notice {
+    Notice {
+        limit,
+        ..Notice::default()
+    }
+}
+
+/// Responses on different connections overtake each other.
+#[tokio::test(start_paused = true)]
+async fn a_limit_ends_with_a_response_to_a_request_that_was_sent_after_it() {
+    let mut table = Table::default();
+    let one = upstream("u1", 5);
+    let sent = Instant::now();
+    advance(Duration::from_millis(50)).await;
+    let named = Instant::now();
+    let news = table.record(named, sent, &one, &limited(Some(4.5)));
+    assert!(news.is_limit_changed && !news.is_leaving);
+    advance(Duration::from_millis(50)).await;
+    let now = Instant::now();
+    assert!(!table.record(now, sent, &one, &limited(None)).is_any());
+    assert_eq!(table.limit(&one), Some(4.5));
+    assert!(table.record(now, now, &one, &limited(None)).is_any());
+    assert_eq!(table.limit(&one), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_limit_that_any_host_read_last_holds() {
+    let mut table = Table::default();
+    let one = upstream("u1", 5);
+    advance(Duration::from_secs(10)).await;
+    let now = Instant::now();
+    let report = |limit, age_ms| Report {
+        is_leaving: false,
+        limit,
+        ..leaving("u1", 5, age_ms)
+    };
+    assert!(table.merge(now, &report(Some(3.0), 500)).is_any());
+    assert!(!table.merge(now, &report(Some(9.0), 800)).is_any());
+    assert!(table.merge(now, &report(None, 200)).is_any());
+    assert!(!table.merge(now, &report(Some(3.0), 400)).is_any());
+    assert_eq!(table.limit(&one), None);
+    for wrong in [f64::NAN, f64::INFINITY, -1.0] {
+        assert!(!table.merge(now, &report(Some(wrong), 0)).is_any());
+    }
+}
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -373,6 +373,9 @@
 fn notice(headers: &HeaderMap) -> Notice {
     Notice {
         is_leaving: headers.contains_key("x-leaving"),
+        limit: headers
+            .get("x-limit")
+            .map(|value| value.to_str().unwrap().parse().unwrap()),
         rest: headers.get(http::header::RETRY_AFTER).map(|value| {
             let seconds = value.to_str().unwrap().parse().unwrap();
             Duration::from_secs_f64(seconds)
