Keep to the request rate that an upstream names, over all hosts together

Cause: nobody read the limit. Read by each host alone, it would have been exceeded by their sum.

Change: each host that knows a limit keeps to its share of it. Repeats, moves and resumed streams take from the share too. A host that has just started takes a share that doesn't depend on how many others it knows. What can't be served is refused at once.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -220,7 +220,7 @@
         Selection::Selected(lease) if !tried.contains(&lease.record.upstream.id) => lease,
         Selection::Selected(_)
         | Selection::Wait(_)
-        | Selection::Resting(_)
+        | Selection::Later(_)
         | Selection::NoUpstream => return None,
     };
     may_retry(state, job).then_some(lease)
@@ -361,11 +361,11 @@
                 return Err(abandon(history, code, RETRY_AFTER_NO_UPSTREAM));
             }
             Selection::Wait(summary) => summary,
-            Selection::Resting(left) => {
+            Selection::Later(left) => {
                 let now = Instant::now();
                 if now + left >= wait_until {
                     info!(id = job.id, service = %job.service, left_ms = millis(left),
-                        "request: all upstreams rest");
+                        "request: all upstreams rest or are at their limits");
                     return Err(abandon(history, Code::Full, left));
                 }
                 tokio::time::sleep(left).await;
@@ -375,7 +375,7 @@
         let now = Instant::now();
         if now >= wait_until {
             info!(id = job.id, service = %job.service, usable = summary.usable, down = summary.down,
-                suspect = summary.suspect, cold = summary.cold, load = summary.load, slots = summary.slots,
+                suspect = summary.suspect, cold = summary.cold, limited = summary.limited, load = summary.load, slots = summary.slots,
                 "request: timed out waiting for an upstream");
             return Err(abandon(history, Code::Full, RETRY_AFTER_FULL));
         }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::headers::Notice;
+use crate::gateway::limit::Bucket;
 use crate::gateway::upstream::Upstream;
 use crate::ident;
 use crate::log::millis;
@@ -84,6 +85,8 @@
     read_at: Instant,
     /// When this host learned what it didn't know before.
     learned_at: Instant,
+    /// This host's share of the limit.
+    bucket: Option<Bucket>,
 }
 
 /// The notices, by upstream.
@@ -157,6 +160,36 @@
         entry.statement.limit
     }
 
+    /// Returns this host's share of the limit that an upstream has named, if it has. Computes
+    /// it by `share` now and then.
+    pub fn bucket(
+        &mut self,
+        now: Instant,
+        upstream: &Upstream,
+        share: impl FnOnce(f64) -> f64,
+    ) -> Option<&mut Bucket> {
+        let limit = self.limit(upstream)?;
+        let entry = self.entries.get_mut(&upstream.id)?;
+        match &mut entry.bucket {
+            Some(bucket) if bucket.is_outdated(now, limit) => {
+                bucket.set_rate(now, limit, share(limit));
+            }
+            Some(_) => {}
+            none => *none = Some(Bucket::new(now, limit, share(limit))),
+        }
+        entry.bucket.as_mut()
+    }
+
+    /// Counts a request that is sent to an upstream, if it has named a limit.
+    pub fn take(&mut self, now: Instant, upstream: &Upstream) {
+        let is_limited = self.limit(upstream).is_some();
+        let entry = self.entries.get_mut(&upstream.id);
+        let bucket = entry.and_then(|entry| entry.bucket.as_mut());
+        if let Some(bucket) = bucket.filter(|_| is_limited) {
+            bucket.take(now);
+        }
+    }
+
     /// Records that an upstream asked this host for rest, and returns whether it had no rest
     /// so far.
     pub fn record_rest(&mut self, now: Instant, upstream: &Upstream, rest: Duration) -> bool {
@@ -246,13 +279,14 @@
         if known.is_none() && statement == Statement::default() {
             return News::default();
         }
-        self.make_room(upstream);
         let entry = Entry {
             started_ms,
             statement,
             read_at,
             learned_at: learned_at.unwrap_or(now),
+            bucket: known.and_then(|it| it.bucket),
         };
+        self.make_room(upstream);
         self.entries.insert(upstream.clone(), entry);
         news
     }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -16,6 +16,8 @@
 use crate::gateway::cold_start;
 use crate::gateway::health::Status;
 use crate::gateway::job::Job;
+use crate::gateway::limit;
+use crate::gateway::peers;
 use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Choice;
@@ -27,6 +29,10 @@
 use crate::ident;
 use crate::lock::lock;
 
+/// Maximum time after which callers come back while this host has no share of the limits of all
+/// upstreams, or has to wait longer for it. Other hosts may have one.
+const MAX_LIMITED_WAIT: Duration = Duration::from_millis(500);
+
 /// Minimum number of unreachable upstreams of another zone at which the whole zone
 /// counts as partitioned. Its other upstreams are then used only after a probe.
 const MIN_ZONE_FAILURES: usize = 2;
@@ -55,7 +61,14 @@
             .collect();
         let (usable, soonest) = self.without_resting(now, usable);
         if let Some(left) = soonest.filter(|_| usable.is_empty()) {
-            return Selection::Resting(left);
+            return Selection::Later(left);
+        }
+        let allowances = self.allowances(now, &usable);
+        let is_used_up = |it: &Option<Allowance>| it.is_some_and(|it| it.requests == 0);
+        if !usable.is_empty() && allowances.iter().all(is_used_up) {
+            let waits = allowances.iter().flatten().filter_map(|it| it.wait);
+            let left = waits.chain(soonest).chain([MAX_LIMITED_WAIT]).min();
+            return Selection::Later(left.unwrap_or(MAX_LIMITED_WAIT));
         }
         let cold_limit = view.route_table().and_then(|table| {
             let service = table.service(&job.service)?;
@@ -95,8 +108,8 @@
             };
             let candidates: Vec<Candidate<'_>> = usable
                 .iter()
-                .zip(&quotas)
-                .map(|(record, quota)| {
+                .zip(quotas.iter().zip(&allowances))
+                .map(|(record, (quota, allowance))| {
                     let id = &record.upstream.id;
                     Candidate {
                         id,
@@ -106,6 +119,7 @@
                         status: status(record),
                         failure_rate: health.score(id),
                         cold_quota: *quota,
+                        limit_quota: allowance.map(|it| it.requests),
                         is_tried: tried.contains(id),
                         is_holder: is_complete(cache.prefix_len(now, &job.segments, id), job),
                     }
@@ -131,6 +145,7 @@
                     candidates: candidates.len(),
                     status: it.status,
                     is_cold: it.cold_quota.is_some(),
+                    is_limited: it.limit_quota.is_some(),
                     is_holder: it.is_holder,
                 }),
                 Choice::Wait | Choice::NoUpstream => None,
@@ -149,6 +164,9 @@
         if condition.status == Status::Probe {
             lock(&self.health).begin_probe(now, id);
         }
+        if condition.is_limited {
+            lock(&self.notices).take(now, &record.upstream);
+        }
         lock(&self.loads).begin(id);
         if condition.is_cold {
             lock(&self.cold_starts).record(now, id);
@@ -251,30 +269,65 @@
         silent.collect()
     }
 
+    /// Returns what this host may send now to each of some upstreams; `None` for one that has
+    /// named no limit.
+    fn allowances(&self, now: Instant, upstreams: &[&Arc<Record>]) -> Vec<Option<Allowance>> {
+        let peers = lock(&self.peers);
+        let mut notices = lock(&self.notices);
+        if notices.is_empty() {
+            return vec![None; upstreams.len()];
+        }
+        let is_settling = peers.is_settling(now);
+        let allowances = upstreams.iter().map(|record| {
+            let upstream = &record.upstream;
+            let bucket = notices.bucket(now, upstream, |limit| {
+                let (hosts, rank) = self.rank(now, &peers, upstream);
+                limit::share(limit, hosts, rank, is_settling)
+            })?;
+            Some(Allowance {
+                requests: bucket.available(now),
+                wait: bucket.wait(now),
+            })
+        });
+        allowances.collect()
+    }
+
     /// Returns how many more requests this host may start at a cold upstream in the
     /// current window. `limit` is the rate for all hosts together, per second.
     fn cold_quota(&self, now: Instant, upstream: &Upstream, limit: f64) -> usize {
-        let (hosts, rank) = {
-            let peers = lock(&self.peers);
-            let score = |address: &Ipv4Addr| {
-                let seed = u64::from(u32::from(*address));
-                xxh3_64_with_seed(upstream.id.as_str().as_bytes(), seed)
-            };
-            let own_score = score(&self.address);
-            let is_local = self.options.host.zone == upstream.zone;
-            // Hosts of the upstream's zone rank first, as their prompts stay in the zone.
-            let ahead = peers.sharing_peers(now).filter(|(address, peer)| {
-                match (peer.zone == upstream.zone, is_local) {
-                    (true, false) => true,
-                    (false, true) => false,
-                    _ => score(address) > own_score,
-                }
-            });
-            (peers.sharer_count(now), ahead.count())
-        };
+        let (hosts, rank) = self.rank(now, &lock(&self.peers), upstream);
         let share = cold_start::share(limit, hosts, rank);
         share.saturating_sub(lock(&self.cold_starts).recent(now, &upstream.id))
     }
+
+    /// Returns the number of hosts that share an upstream's limits, and the rank of this one
+    /// among them.
+    fn rank(&self, now: Instant, peers: &peers::Table, upstream: &Upstream) -> (usize, usize) {
+        let score = |address: &Ipv4Addr| {
+            let seed = u64::from(u32::from(*address));
+            xxh3_64_with_seed(upstream.id.as_str().as_bytes(), seed)
+        };
+        let own_score = score(&self.address);
+        let is_local = self.options.host.zone == upstream.zone;
+        // Hosts of the upstream's zone rank first, as their prompts stay in the zone.
+        let ahead = peers.sharing_peers(now).filter(|(address, peer)| {
+            match (peer.zone == upstream.zone, is_local) {
+                (true, false) => true,
+                (false, true) => false,
+                _ => score(address) > own_score,
+            }
+        });
+        (peers.sharer_count(now), ahead.count())
+    }
+}
+
+/// What this host may send to an upstream that has named a limit.
+#[derive(Clone, Copy, Debug)]
+struct Allowance {
+    /// Requests that it may send now.
+    requests: usize,
+    /// Time until it may send one; `None` if it has no share.
+    wait: Option<Duration>,
 }
 
 /// Returns the mean of some loads, zero for none.
@@ -299,6 +352,8 @@
     pub status: Status,
     /// Whether it was cold.
     pub is_cold: bool,
+    /// Whether it had named a limit.
+    pub is_limited: bool,
     /// Whether it held the whole prompt that the request shares with others.
     pub is_holder: bool,
 }
@@ -314,6 +369,8 @@
     pub suspect: usize,
     /// Cold ones at which this host has used up its rate of starts.
     pub cold: usize,
+    /// Those that named a limit, of which this host has used up its share.
+    pub limited: usize,
     /// Requests of all hosts in flight at them.
     pub load: u32,
     /// Requests that they run concurrently.
@@ -328,6 +385,7 @@
             down: count(&|it| it.status == Status::Down),
             suspect: count(&|it| it.status == Status::Suspect),
             cold: count(&|it| it.cold_quota == Some(0)),
+            limited: count(&|it| it.limit_quota == Some(0)),
             load: candidates.iter().map(|it| it.load).sum(),
             slots: candidates.iter().map(|it| it.slots).sum(),
         }
@@ -340,8 +398,9 @@
     Selected(Lease),
     /// The request has to wait until an upstream has a free slot or becomes usable.
     Wait(Summary),
-    /// All upstreams asked this host for rest, the first of them for this much longer.
-    Resting(Duration),
+    /// All upstreams asked this host for rest, or it has used up its share of their limits. The
+    /// first of them may get a request again after this time.
+    Later(Duration),
     /// No upstream runs the service.
     NoUpstream,
 }
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -19,6 +19,7 @@
 mod events;
 mod host;
 mod leaving;
+mod limits;
 mod rest;
 mod settings;
 mod truncation;
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -30,6 +30,7 @@
         status: Status::Healthy,
         failure_rate: 0.0,
         cold_quota: None,
+        limit_quota: None,
         is_tried: false,
         is_holder: false,
     });
@@ -196,6 +197,20 @@
     assert_eq!(engine(1, LONG_PROMPT_TOKENS, &all), Choice::Wait);
 }
 
+#[test]
+fn an_engine_at_its_limit_gets_nothing() {
+    let ids = ids(2);
+    let mut all = candidates(&ids);
+    all[0].limit_quota = Some(0);
+    all[0].is_holder = true;
+    all[1].limit_quota = Some(1);
+    assert_eq!(engine(1, LONG_PROMPT_TOKENS, &all), Choice::Send(1));
+    assert_eq!(plain(0.0, &all, true), Choice::Send(1));
+    all[1].limit_quota = Some(0);
+    assert_eq!(engine(1, LONG_PROMPT_TOKENS, &all), Choice::Wait);
+    assert_eq!(plain(0.0, &all, true), Choice::Wait);
+}
+
 #[test]
 fn a_tried_upstream_is_used_only_if_no_other_is_left() {
     let ids = ids(2);
