Pause an upstream whose address answers for another one

Cause: a rejected attempt left no mark on the upstream, and one that runs nothing stays the least loaded.

Change: 421 counts as a loss in the upstream's health; two in a row pause it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -167,6 +167,10 @@
             }
             Err(Loss::Rejected(status)) => {
                 info!(id = job.id, %upstream, status = status.as_u16(), "request: rejected");
+                if status == http::StatusCode::MISDIRECTED_REQUEST {
+                    // Another upstream has its address: it would be the least loaded of all.
+                    record_observation(state, &upstream, Observation::Lost);
+                }
                 history.tried.push(upstream);
                 history.rejected += 1;
                 let is_final = history.rejected >= MAX_REJECTED || !may_retry(state, job);
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -105,6 +105,20 @@
     }
 }
 
+/// An upstream that ended stays the least loaded while it is listed, and would use up the retry
+/// budget.
+#[tokio::test]
+async fn an_upstream_whose_address_another_one_has_gets_few_requests() {
+    let gone = Upstream::start("u1", |_| Step::Misdirected).await;
+    let other = Upstream::start("u2", |_| Step::Respond(200, "sold")).await;
+    let host = Host::start(Kind::NonIdempotent, &[&gone, &other]).await;
+    for number in 0..100 {
+        let reply = caller::send(host.caller, &format!("a{number}"), &[]).await;
+        assert_eq!(reply.status, 200);
+    }
+    assert!(runs(&[&gone]) <= 10, "{}", runs(&[&gone]));
+}
+
 #[tokio::test]
 async fn a_non_idempotent_request_that_did_not_run_is_refused_with_retry_after() {
     let one = Upstream::start("u1", |_| Step::Reject).await;
