--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -9,10 +9,6 @@
 
 use tokio::time::Instant;
 
-/// Fraction of the limit that the chosen hosts share. Below one, as hosts may disagree for a
-/// while on which of them are chosen, and requests arrive later than they are sent.
-const SHARED_FRACTION: f64 = 0.9;
-
 /// Number of chosen hosts at a limit of zero. Each request per second adds one.
 const MIN_CHOSEN_HOSTS: f64 = 2.0;
 
@@ -38,7 +34,7 @@
         false => most.min(hosts.max(1) as f64),
     };
     let rate = match (rank as f64) < chosen {
-        true => limit * SHARED_FRACTION / chosen,
+        true => limit / chosen,
         false => 0.0,
     };
     match rank {
