Refuse messages that crash the engines of homes one after another

Cause: homes counted crashes by whole requests, and no two chats are alike. Change: homes count them by the messages that chats may share too, with the gateway's rules (policy::quarantine), and report them in heartbeats; hosts of an earlier build read those while there is nothing to report. An answer clears a message.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -36,6 +36,9 @@
 /// The maximum number of crash reports in one heartbeat.
 const MAX_CRASH_REPORTS: usize = 16;
 
+/// The maximum number of messages with crashes in one heartbeat.
+const MAX_SEGMENT_REPORTS: usize = 4;
+
 /// Sends heartbeats until the process stops.
 pub async fn send(state: Arc<State>, socket: Arc<UdpSocket>) {
     let mut random = StdRng::seed_from_u64(state.incarnation.start);
@@ -215,6 +218,7 @@
         pools,
         upstreams,
         crashes,
+        segments: lock(&state.quarantine).reports(now, MAX_SEGMENT_REPORTS),
     }
 }
 
--- a/src/daemon/home.rs
+++ b/src/daemon/home.rs
@@ -237,6 +237,11 @@
             crashes.merge(now, &crash);
         }
     }
+    drop(crashes);
+    let mut quarantine = lock(&state.quarantine);
+    for segment in &digest.segments {
+        quarantine.merge(now, segment);
+    }
 }
 
 fn load_report(load: &load::Upstream) -> Report {
--- a/src/home.rs
+++ b/src/home.rs
@@ -5,5 +5,6 @@
 pub mod connection;
 pub mod forward;
 pub mod run;
+pub mod segment;
 pub mod slot;
 pub mod suspect;
--- a/src/home/run.rs
+++ b/src/home/run.rs
@@ -12,20 +12,26 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::entry::header;
 use crate::home::admission;
 use crate::home::connection;
 use crate::home::forward::Forwarder;
+use crate::home::segment;
 use crate::home::slot::Slot;
 use crate::home::suspect;
+use crate::ident;
 use crate::lock::lock;
+use crate::log::millis;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
 use crate::peer::frame::Exchange;
 use crate::peer::frame::Frame;
 use crate::peer::frame::Head;
 use crate::peer::frame::Run;
+use crate::policy::quarantine::Verdict;
 use crate::policy::rank;
 use crate::register::upstream;
 use crate::state::State;
@@ -50,14 +56,21 @@
     let deadline = started + run.call.time_left();
     admit(state, run)?;
     let request = admission_request(state, run, deadline);
+    let segments = segment::of(&run.call);
+    check_segments(state, run, &segments)?;
     let _permit = acquire_serial(state, run, request.deadline).await?;
     let mut slot = Slot::acquire(state, &run.upstream, request).await?;
     // While the call waited, the zone may have been drained, or the process
     // suspended.
     let spec = admit(state, run)?;
+    if check_segments(state, run, &segments)? == Verdict::Trial {
+        lock(&state.quarantine).begin_trial(Instant::now(), &segments);
+    }
     let waited = started.elapsed();
     let sent = Instant::now();
-    let (response, lease) = dispatch(state, run, &spec, deadline, &mut slot).await?;
+    let dispatched = dispatch(state, run, &spec, deadline, &mut slot).await;
+    let (response, lease) =
+        dispatched.inspect_err(|it| record_crash(state, run, &segments, it.code, sent))?;
     let first_byte = sent.elapsed();
     let forwarder = Forwarder::new(run, response, state.options.upstream.between_frames);
     let head = Head {
@@ -77,8 +90,12 @@
             }
             slot.set_end(admission::End::Answered { first_byte });
             lock(&state.crashes).clear(run.call.fingerprint);
+            lock(&state.quarantine).record_answer(Instant::now(), &segments);
+        }
+        Err(refusal) => {
+            record_failure(state, run, &mut slot, refusal.code);
+            record_crash(state, run, &segments, refusal.code, sent);
         }
-        Err(refusal) => record_failure(state, run, &mut slot, refusal.code),
     }
     forwarded.map(|_| ())
 }
@@ -111,6 +128,52 @@
     }
 }
 
+/// Checks that no message of the chat is refused because it has crashed several upstreams.
+fn check_segments(state: &State, run: &Run, segments: &[u64]) -> Result<Verdict, Refusal> {
+    let now = Instant::now();
+    if !lock(&state.quarantine).contains(segments) {
+        return Ok(Verdict::Allowed);
+    }
+    let own = &state.incarnation.host;
+    let hosts: Vec<_> = lock(&state.view)
+        .live(&state.options.host.zone)
+        .cloned()
+        .collect();
+    let rank = |segment: u64| {
+        let score = |host: &ident::Host| xxh3_64_with_seed(host.as_str().as_bytes(), segment);
+        let ahead = hosts.iter().filter(|host| score(host) > score(own));
+        ahead.count()
+    };
+    let workspace = workspace_hash(run);
+    let verdict = lock(&state.quarantine).check(now, segments, workspace, rank);
+    match verdict {
+        Verdict::Allowed | Verdict::Trial => Ok(verdict),
+        Verdict::Refused { segment, left } => {
+            tracing::info!(upstream = %run.upstream, segment = format!("{segment:x}"),
+                left_ms = millis(left), "home: message crashed several upstreams");
+            Err(Refusal::not_run(Code::Quarantined).with_retry_after(left))
+        }
+    }
+}
+
+/// Records that a call's upstream crashed before the call had its answer, which any message
+/// of the chat may have caused.
+fn record_crash(state: &State, run: &Run, segments: &[u64], code: Code, sent: Instant) {
+    if code.is_crash() && !segments.is_empty() {
+        let now = Instant::now();
+        let workspace = workspace_hash(run);
+        let accused =
+            lock(&state.quarantine).record_crash(now, segments, workspace, &run.upstream, sent);
+        tracing::info!(upstream = %run.upstream, accused = accused.len(),
+            run_ms = millis(now.duration_since(sent)), "home: upstream crashed");
+    }
+}
+
+fn workspace_hash(run: &Run) -> u32 {
+    let hash = xxh3_64(run.call.workspace.as_str().as_bytes());
+    u32::try_from(hash >> 32).unwrap_or_default()
+}
+
 /// Waits until no other suspect request runs at the upstream, if this call is
 /// suspect.
 async fn acquire_serial(
--- a/src/member/heartbeat.rs
+++ b/src/member/heartbeat.rs
@@ -12,6 +12,7 @@
 use crate::member::packed;
 use crate::member::roster::Roster;
 use crate::member::summary::Summary;
+use crate::policy::quarantine;
 
 /// The version of the heartbeat protocol.
 pub const VERSION: u8 = 1;
@@ -75,6 +76,10 @@
     /// Summaries of other zones that the sender received since its last
     /// heartbeat.
     pub summaries: Vec<Summary>,
+    /// Messages of chats that crashed upstreams. Left out if there are none, so that hosts
+    /// of an earlier build can read it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub segments: Vec<quarantine::Report>,
 }
 
 /// The fields of a digest that the home supplies.
@@ -88,6 +93,8 @@
     pub upstreams: Vec<load::Upstream>,
     /// Requests whose upstream recently failed while it ran them.
     pub crashes: Vec<load::Crash>,
+    /// Messages of chats that crashed upstreams.
+    pub segments: Vec<quarantine::Report>,
 }
 
 /// Why a datagram was dropped or can't be sent.
@@ -149,7 +156,8 @@
             let count = self.upstreams.len();
             match (self.summaries.pop(), count) {
                 (Some(_), _) => {}
-                (None, 0) if self.crashes.pop().is_some() || self.pools.pop().is_some() => {}
+                (None, 0) if self.crashes.pop().is_some() => {}
+                (None, 0) if self.segments.pop().is_some() || self.pools.pop().is_some() => {}
                 (None, 0) => break,
                 (None, _) if !rotated => {
                     let step = sequence.wrapping_mul(UPSTREAM_ROTATION);
--- a/src/member/view/command.rs
+++ b/src/member/view/command.rs
@@ -229,6 +229,7 @@
             summaries: std::mem::take(&mut self.pending_summaries)
                 .into_values()
                 .collect(),
+            segments: report.segments.clone(),
         }
         .truncate()
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,10 +18,11 @@
 //! 12. `remote_loads`: upstream loads reported by other homes
 //! 13. `recent_failures`: upstreams that failed recently
 //! 14. `crashes`: requests that crashed upstreams
-//! 15. `retry_budget`: the budget for retries
-//! 16. `quota`: tokens requested in advance by each workspace
-//! 17. `meter`: the measurements of the host
-//! 18. the internal locks of the suspects, the issuer, the peers and the
+//! 15. `quarantine`: messages of chats that crashed upstreams
+//! 16. `retry_budget`: the budget for retries
+//! 17. `quota`: tokens requested in advance by each workspace
+//! 18. `meter`: the measurements of the host
+//! 19. the internal locks of the suspects, the issuer, the peers and the
 //!     connections
 
 use std::collections::BTreeMap;
@@ -62,6 +63,7 @@
 use crate::policy::crash;
 use crate::policy::fair;
 use crate::policy::load;
+use crate::policy::quarantine;
 use crate::policy::quota;
 use crate::policy::ramp;
 use crate::policy::retry;
@@ -117,6 +119,8 @@
     pub remote_loads: Mutex<BTreeMap<ident::Upstream, load::Report>>,
     /// Requests that crashed upstreams.
     pub crashes: Mutex<crash::Table>,
+    /// Messages of chats that crashed upstreams.
+    pub quarantine: Mutex<quarantine::Table>,
     /// Makes requests that crashed an upstream run one at a time at each
     /// upstream.
     pub suspects: suspect::Table,
@@ -191,6 +195,7 @@
             scheduler: Mutex::new(admission::Scheduler::new(admission_limits(&options))),
             restarts: Mutex::default(),
             remote_loads: Mutex::default(),
+            quarantine: Mutex::new(quarantine::Table::new(quarantine::Limits::default())),
             crashes: Mutex::new(crash::Table::new(crash::Limits {
                 upstreams: options.strike.limit as usize,
                 retention: options.strike.quarantine,
--- a/tests/member_capacity.rs
+++ b/tests/member_capacity.rs
@@ -76,6 +76,7 @@
             })
             .collect(),
         crashes: Vec::new(),
+        segments: Vec::new(),
     }
 }
 
