Repeat notices of upstreams slowly in messages between hosts

Limits may last for hours at hundreds of upstreams. Ten old ones in each of 60 messages a second would have cost about 20 KB/s a host (computed: 35 bytes each), over the 10 KB/s for all control; now two, 4 KB/s, and only while there are any. News goes first as before.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -47,9 +47,6 @@
 /// Maximum number of prompt segments with crashes in a message.
 const MAX_SEGMENTS: usize = 5;
 
-/// Maximum number of upstreams' notices in a message.
-const MAX_NOTICES: usize = 10;
-
 /// Maximum rate of datagrams that a host sends. Rounds are less frequent in larger
 /// fleets.
 const DATAGRAMS_PER_SECOND: f64 = 60.0;
@@ -263,7 +260,7 @@
     let loads = lock(&state.loads).own_counts().clone();
     let mut crashes = lock(&state.crashes).crashes(now);
     crashes.truncate(MAX_CRASHES);
-    let notices = lock(&state.notices).reports(now, MAX_NOTICES);
+    let notices = lock(&state.notices).reports(now);
     let segments = lock(&state.quarantine).reports(now, MAX_SEGMENTS);
     Message {
         sender,
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -25,7 +25,13 @@
 /// Maximum number of upstreams with a notice. The oldest are forgotten first.
 const MAX_ENTRIES: usize = 8_192;
 
-/// How long a notice that is new goes before others in messages.
+/// Maximum number of news in a message.
+const MAX_NEWS: usize = 10;
+
+/// Number of other notices in a message. Notices may last for hours, so they are repeated slowly.
+const MAX_REPEATED: usize = 2;
+
+/// How long a notice counts as news.
 const NEWS_TIME: Duration = Duration::from_secs(2);
 
 /// A notice as hosts report it to each other.
@@ -212,17 +218,18 @@
         is_current.then(|| rest.until - now)
     }
 
-    /// Returns notices for a message, the news first. Each call continues after the others
-    /// of the call before.
-    pub fn reports(&mut self, now: Instant, limit: usize) -> Vec<Report> {
+    /// Returns notices for a message: the latest news, and a few others in turn, which hosts
+    /// that started or were cut off may lack.
+    pub fn reports(&mut self, now: Instant) -> Vec<Report> {
         self.expire(now);
         let is_news = |entry: &Entry| now.duration_since(entry.learned_at) < NEWS_TIME;
         let (mut news, rest): (Vec<_>, Vec<_>) =
             self.entries.iter().partition(|(_, entry)| is_news(entry));
         news.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.learned_at));
         let skip = self.offset % rest.len().max(1);
-        let others = rest.iter().cycle().skip(skip).take(rest.len()).copied();
-        let reports = news.into_iter().chain(others).take(limit);
+        let repeated = rest.len().min(MAX_REPEATED);
+        let repeated = rest.iter().cycle().skip(skip).take(repeated).copied();
+        let reports = news.into_iter().take(MAX_NEWS).chain(repeated);
         let reports = reports.map(|(upstream, entry)| Report {
             upstream: upstream.clone(),
             started_ms: entry.started_ms,
@@ -231,7 +238,7 @@
             age_ms: millis(now.duration_since(entry.read_at)),
         });
         let reports = reports.collect();
-        self.offset = self.offset.wrapping_add(limit);
+        self.offset = self.offset.wrapping_add(MAX_REPEATED);
         reports
     }
 
