--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -8,13 +8,16 @@
 
 use masticmoor::gateway::datagram;
 use masticmoor::gateway::datagram::Datagram;
+use masticmoor::gateway::headers::Notice;
 use masticmoor::gateway::load;
+use masticmoor::gateway::notice;
 use masticmoor::gateway::peers;
 use masticmoor::gateway::peers::Selection;
 use masticmoor::gateway::relay;
 use masticmoor::gateway::relay::LocalHost;
 use masticmoor::gateway::relay::Recipients;
 use masticmoor::gateway::relay::Relay;
+use masticmoor::gateway::upstream::Upstream;
 use masticmoor::ident;
 use masticmoor::policy::quarantine;
 use rstest::rstest;
@@ -190,29 +193,38 @@
     assert!(contacts.iter().all(|contact| contact.zone == zone(3)));
 }
 
-/// Time in which all hosts have to know a crash.
-const CRASH_SPREAD_LIMIT: Duration = Duration::from_secs(3);
+/// Time in which all hosts have to know a crash, or what an upstream announced.
+const SPREAD_LIMIT: Duration = Duration::from_secs(3);
 
 /// Time between two rounds of a host in a zone of 50.
 const ROUND: Duration = Duration::from_millis(800);
 
-#[tokio::test(start_paused = true)]
-async fn all_hosts_of_a_very_large_fleet_know_a_crash_in_time() {
-    const HOSTS: u8 = 50;
-    let mut fleet = Fleet::new(HOSTS, SETTLED).await;
-    let table = || quarantine::Table::new(quarantine::Limits::default());
-    let mut tables: BTreeMap<_, _> = all(HOSTS)
-        .map(|(zone, host)| (address(zone, host), table()))
-        .collect();
-    let crashed_at = Instant::now();
-    let first = tables.get_mut(&address(0, 7)).unwrap();
-    first.record_crash(crashed_at, &[666], 1, &"u1".into(), crashed_at);
+/// Number of hosts per zone of a very large fleet.
+const HOSTS: u8 = 50;
+
+/// Returns one table for each host of a very large fleet.
+fn tables<T>(table: impl Fn() -> T) -> BTreeMap<Ipv4Addr, T> {
+    let hosts = all(HOSTS).map(|(zone, host)| (address(zone, host), table()));
+    hosts.collect()
+}
+
+/// Lets the hosts of a very large fleet exchange reports, and fails unless all of them know in
+/// time what one does.
+async fn spread<T, R>(
+    fleet: &mut Fleet,
+    tables: &mut BTreeMap<Ipv4Addr, T>,
+    reports: impl Fn(&mut T, Instant) -> Vec<R>,
+    merge: impl Fn(&mut T, Instant, &R),
+    knows: impl Fn(&T) -> bool,
+) {
+    let begun = Instant::now();
     let mut unknown = tables.len() - 1;
     while unknown > 0 {
-        assert!(crashed_at.elapsed() < CRASH_SPREAD_LIMIT, "{unknown} hosts");
+        assert!(begun.elapsed() < SPREAD_LIMIT, "{unknown} hosts");
         for (from, round) in fleet.next_round() {
             let now = Instant::now();
-            let reports = tables[&address(from.0, from.1)].reports(now, 5);
+            let sender = tables.get_mut(&address(from.0, from.1)).unwrap();
+            let reports = reports(sender, now);
             // The recipient of a summary forwards it to its zone.
             let forwarded = round.summary.iter().flat_map(|to| {
                 let zone = zone_of(to);
@@ -221,16 +233,79 @@
             for to in round.direct.iter().copied().chain(forwarded) {
                 let table = tables.get_mut(&to).unwrap();
                 for report in &reports {
-                    table.merge(now, report);
+                    merge(table, now, report);
                 }
             }
         }
-        unknown = tables.values().filter(|it| !it.contains(&[666])).count();
+        unknown = tables.values().filter(|it| !knows(it)).count();
         tokio::time::advance(ROUND).await;
         fleet.receive_all();
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn all_hosts_of_a_very_large_fleet_know_a_crash_in_time() {
+    let mut fleet = Fleet::new(HOSTS, SETTLED).await;
+    let mut tables = tables(|| quarantine::Table::new(quarantine::Limits::default()));
+    let now = Instant::now();
+    let first = tables.get_mut(&address(0, 7)).unwrap();
+    first.record_crash(now, &[666], 1, &"u1".into(), now);
+    spread(
+        &mut fleet,
+        &mut tables,
+        |table, now| table.reports(now, 5),
+        |table, now, report| table.merge(now, report),
+        |table| table.contains(&[666]),
+    )
+    .await;
+}
+
+/// Many upstreams have announced something before, and messages hold few of them.
+#[tokio::test(start_paused = true)]
+async fn all_hosts_of_a_very_large_fleet_know_what_an_upstream_announced_in_time() {
+    let upstream = |id: &str| Upstream {
+        id: id.into(),
+        service: "pool".into(),
+        version: "v1".into(),
+        address: ([10, 9, 0, 1], 80).into(),
+        zone: zone(1),
+        slots: 8,
+        is_draining: false,
+        cold_left: Duration::ZERO,
+        started_ms: Some(1),
+    };
+    let announced = Notice {
+        is_leaving: true,
+        limit: Some(2.5),
+        ..Notice::default()
+    };
+    let mut fleet = Fleet::new(HOSTS, SETTLED).await;
+    let mut tables = tables(notice::Table::default);
+    let now = Instant::now();
+    for table in tables.values_mut() {
+        for number in 0..300 {
+            let old = upstream(&format!("old-{number}"));
+            table.record(now, now, &old, &announced);
+        }
+    }
+    tokio::time::advance(SETTLED).await;
+    fleet.receive_all();
+    let one = upstream("u1");
+    let now = Instant::now();
+    let first = tables.get_mut(&address(0, 7)).unwrap();
+    first.record(now, now, &one, &announced);
+    spread(
+        &mut fleet,
+        &mut tables,
+        notice::Table::reports,
+        |table, now, report| {
+            table.merge(now, report);
+        },
+        |table| table.is_leaving(&one) && table.limit(&one) == Some(2.5),
+    )
+    .await;
+}
+
 fn summary(loads: usize, prefix: &str) -> datagram::Summary {
     let id = |number| format!("{prefix}-{number:010x}").as_str().into();
     datagram::Summary {
