Count only healthy upstreams in the mean that caps the last resort

Upstreams that are due for a probe, such as those of a zone that is cut off, hold little and made the cap too low for those that are left.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,7 +22,6 @@
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Fault;
 use crate::gateway::crash;
-use crate::gateway::headers::Notice;
 use crate::gateway::health::Observation;
 use crate::gateway::job::Job;
 use crate::gateway::job::segment_list;
@@ -272,20 +271,15 @@
     }
 }
 
-/// Records what an upstream announced of itself in a response, and reports news to other hosts
-/// at once.
-fn record_notice(
-    state: &State,
-    job: &Job,
-    upstream: &Upstream,
-    (sent, status): (Instant, http::StatusCode),
-    notice: &Notice,
-) {
+/// Records what an upstream announced of itself in the response to a request that was sent at
+/// `sent`, and reports news to other hosts at once.
+fn record_notice(state: &State, job: &Job, upstream: &Upstream, sent: Instant, response: &Parts) {
+    let notice = (state.names.notice)(&response.headers);
     for header in &notice.invalid {
         warn!(id = job.id, upstream = %upstream.id, %header, "upstream: unreadable header, ignored");
     }
     let now = Instant::now();
-    let news = lock(&state.notices).record(now, sent, upstream, notice);
+    let news = lock(&state.notices).record(now, sent, upstream, &notice);
     if news.is_leaving {
         info!(id = job.id, upstream = %upstream.id, is_draining = upstream.is_draining,
             "upstream: announces that it leaves");
@@ -299,7 +293,7 @@
     if news.is_any() {
         state.gossip_urgent.notify_one();
     }
-    let is_turned_away = status == http::StatusCode::SERVICE_UNAVAILABLE;
+    let is_turned_away = response.status == http::StatusCode::SERVICE_UNAVAILABLE;
     if let Some(rest) = notice.rest.filter(|_| is_turned_away)
         && lock(&state.notices).record_rest(now, upstream, rest)
     {
@@ -462,8 +456,7 @@
     }
     // Another upstream has this one's address now, and speaks of itself.
     if parts.status != http::StatusCode::MISDIRECTED_REQUEST {
-        let notice = (names.notice)(&parts.headers);
-        record_notice(state, job, upstream, (sent, parts.status), &notice);
+        record_notice(state, job, upstream, sent, &parts);
     }
     if not_executed {
         history.runs -= 1;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -85,8 +85,8 @@
 pub struct Mean {
     /// Of all that are listed, also those of an evacuated zone, since users count them too.
     pub listed: f64,
-    /// Of those that don't fail and aren't cold, also if they can't be chosen: those that
-    /// leave, are limited or have another version.
+    /// Of those that are healthy and not cold, also if they can't be chosen: those that leave,
+    /// are limited or have another version.
     pub sound: f64,
 }
 
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -59,16 +59,10 @@
             .filter(|record| version.is_none_or(|it| record.upstream.version == *it))
             .filter(|record| !self.is_leaving(record))
             .collect();
-        let (usable, soonest) = self.without_resting(now, usable);
-        if let Some(left) = soonest.filter(|_| usable.is_empty()) {
-            return Selection::Later(left);
-        }
+        let (usable, rest) = self.without_resting(now, usable);
         let allowances = self.allowances(now, &usable);
-        let is_used_up = |it: &Option<Allowance>| it.is_some_and(|it| it.requests == 0);
-        if !usable.is_empty() && allowances.iter().all(is_used_up) {
-            let waits = allowances.iter().flatten().filter_map(|it| it.wait);
-            let left = waits.chain(soonest).chain([MAX_LIMITED_WAIT]).min();
-            return Selection::Later(left.unwrap_or(MAX_LIMITED_WAIT));
+        if let Some(left) = wait_for_all(&allowances, rest) {
+            return Selection::Later(left);
         }
         let cold_limit = view.route_table().and_then(|table| {
             let service = table.service(&job.service)?;
@@ -128,8 +122,7 @@
             let may_probe = job.route.kind.is_repeatable();
             let load = |record: &Arc<Record>| loads.total(&record.upstream.id);
             let is_sound = |record: &&Arc<Record>| {
-                let is_failing = matches!(status(record), Status::Suspect | Status::Down);
-                !is_failing && record.cold_until <= boot_now
+                status(record) == Status::Healthy && record.cold_until <= boot_now
             };
             let mean = placement::Mean {
                 listed: mean_of(view.listed(&job.service).map(load)),
@@ -330,6 +323,20 @@
     wait: Option<Duration>,
 }
 
+/// Returns the time until the first of some upstreams may get a request, if none may now. `rest`
+/// is the shortest time for which others asked for rest.
+fn wait_for_all(allowances: &[Option<Allowance>], rest: Option<Duration>) -> Option<Duration> {
+    if allowances.is_empty() {
+        return rest;
+    }
+    let is_used_up = |it: &Option<Allowance>| it.is_some_and(|it| it.requests == 0);
+    if !allowances.iter().all(is_used_up) {
+        return None;
+    }
+    let waits = allowances.iter().flatten().filter_map(|it| it.wait);
+    waits.chain(rest).chain([MAX_LIMITED_WAIT]).min()
+}
+
 /// Returns the mean of some loads, zero for none.
 fn mean_of(loads: impl Iterator<Item = u32>) -> f64 {
     let (total, count) = loads.fold((0, 0_u32), |(total, count), load| (total + load, count + 1));
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -1,6 +1,8 @@
 //! The recipients of gossip and the encoding of summaries, which keep traffic between zones
 //! from growing with the square of the fleet.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
