Measure the time to join from a host's first route table

A host whose first read of the store is slow counted as joined before it had a table to compare, and a peer's full copy was fetched besides the store's at each start.

--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -128,29 +128,23 @@
 }
 
 /// Lets this host accept keys once its route table is as late as those of the hosts that it
-/// hears, or after [`JOIN_TIMEOUT`].
+/// hears, or [`JOIN_TIMEOUT`] after it has a table.
 ///
 /// A store that came back older lists keys that were revoked. Only other hosts know that.
 pub async fn join(state: Arc<State>) {
-    let started = Instant::now();
     let joined = async {
+        let mut has_table_since = None;
         loop {
             let now = Instant::now();
-            let progress = state.progress();
-            let (is_alone, is_heard, is_behind) = {
-                let mut peers = lock(&state.peers);
-                let is_alone = peers.targets(now).is_empty();
-                let is_later =
-                    |peer: &peers::Peer| peer.progress.table_version > progress.table_version;
-                let is_behind = peers.live(now).any(|(_, peer)| is_later(peer));
-                (is_alone, peers.live(now).next().is_some(), is_behind)
-            };
-            let is_first = is_alone || state.options.gateway.first_start;
-            if is_first || is_heard && !is_behind || started.elapsed() >= JOIN_TIMEOUT {
-                return;
-            }
-            if is_behind {
-                follow_any(&state).await;
+            let own = state.progress().table_version;
+            if own > 0 {
+                let since = *has_table_since.get_or_insert(now);
+                match table_lag(&state, now, own) {
+                    Lag::Current => return,
+                    _ if now.duration_since(since) >= JOIN_TIMEOUT => return,
+                    Lag::Behind => follow_any(&state).await,
+                    Lag::Unknown => {}
+                }
             }
             tokio::time::sleep(JOIN_INTERVAL).await;
         }
@@ -161,6 +155,29 @@
     }
 }
 
+/// How the route table of a host that starts compares with those of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lag {
+    /// As late as those of the hosts that are heard, or there are no others.
+    Current,
+    /// Another host has a later one.
+    Behind,
+    /// No other host was heard yet.
+    Unknown,
+}
+
+fn table_lag(state: &State, now: Instant, table_version: u64) -> Lag {
+    let mut peers = lock(&state.peers);
+    let is_alone = state.options.gateway.first_start || peers.targets(now).is_empty();
+    let latest = peers.live(now).map(|(_, peer)| peer.progress.table_version);
+    match latest.max() {
+        Some(latest) if latest > table_version => Lag::Behind,
+        Some(_) => Lag::Current,
+        None if is_alone => Lag::Current,
+        None => Lag::Unknown,
+    }
+}
+
 /// Returns whether the fleet is so large that only some hosts read the store.
 pub fn is_large_fleet(peers: &peers::Table, now: Instant) -> bool {
     peers.sharer_count(now) > MAX_SMALL_FLEET
