Keep a limit when an overtaken response announces that its upstream leaves

Cause: a response without a limit, sent for before the limit was read, was dropped only if it announced nothing else.

--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -34,6 +34,9 @@
 /// How long a notice counts as news.
 const NEWS_TIME: Duration = Duration::from_secs(2);
 
+/// Maximum time for which an upstream gets no requests because it asked for rest.
+const MAX_REST: Duration = Duration::from_secs(60);
+
 /// A notice as hosts report it to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -49,9 +52,6 @@
     pub age_ms: u64,
 }
 
-/// Maximum time for which an upstream gets no requests because it asked for rest.
-const MAX_REST: Duration = Duration::from_secs(60);
-
 /// A time in which an upstream gets no requests of this host.
 #[derive(Clone, Copy, Debug)]
 struct Rest {
@@ -118,20 +118,20 @@
         upstream: &Upstream,
         notice: &Notice,
     ) -> News {
+        let known = self.entries.get(&upstream.id);
+        let overtaken = known.filter(|entry| notice.limit.is_none() && sent < entry.read_at);
         let statement = Statement {
             is_leaving: notice.is_leaving,
-            limit: notice.limit,
+            limit: overtaken.map_or(notice.limit, |entry| entry.statement.limit),
         };
-        let known = self.entries.get(&upstream.id);
-        let is_overtaken = known.is_some_and(|entry| sent < entry.read_at);
-        match (known, statement) {
-            (None, statement) if statement == Statement::default() => return News::default(),
-            (Some(_), Statement { limit: None, .. }) if is_overtaken && !notice.is_leaving => {
-                return News::default();
-            }
-            _ => {}
+        let says_nothing = match known {
+            Some(_) => overtaken.is_some() && !notice.is_leaving,
+            None => statement == Statement::default(),
+        };
+        match says_nothing {
+            true => News::default(),
+            false => self.insert(now, &upstream.id, upstream.started_ms, statement, now),
         }
-        self.insert(now, &upstream.id, upstream.started_ms, statement, now)
     }
 
     /// Merges another host's report, and returns what is news.
--- a/tests/gateway_notice.rs
+++ b/tests/gateway_notice.rs
@@ -158,7 +158,15 @@
     advance(Duration::from_millis(50)).await;
     let now = Instant::now();
     assert!(!table.record(now, sent, &one, &limited(None)).is_any());
+    let leaving = Notice {
+        is_leaving: true,
+        ..Notice::default()
+    };
+    let news = table.record(now, sent, &one, &leaving);
+    assert!(news.is_leaving && !news.is_limit_changed);
     assert_eq!(table.limit(&one), Some(4.5));
+    advance(Duration::from_millis(1)).await;
+    let now = Instant::now();
     assert!(table.record(now, now, &one, &limited(None)).is_any());
     assert_eq!(table.limit(&one), None);
 }
