--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -60,6 +60,9 @@
     hosts: Gauge,
     store_age_seconds: Gauge<f64, AtomicU64>,
     route_table_version: Gauge,
+    store_era: Gauge,
+    retained_items: Gauge,
+    noticed_upstreams: Gauge,
 }
 
 /// Current values of the gauges.
@@ -73,6 +76,12 @@
     pub age: Option<Duration>,
     /// Version of the route table.
     pub version: u64,
+    /// Era of this host's copy of the store.
+    pub era: u64,
+    /// Items that stay in effect although the store has older ones or none.
+    pub retained: usize,
+    /// Upstreams that have announced something of themselves.
+    pub noticed: usize,
 }
 
 impl Meter {
@@ -93,6 +102,9 @@
             hosts: Gauge::default(),
             store_age_seconds: Gauge::default(),
             route_table_version: Gauge::default(),
+            store_era: Gauge::default(),
+            retained_items: Gauge::default(),
+            noticed_upstreams: Gauge::default(),
             registry: Mutex::new(Registry::default()),
         };
         let it = &meter;
@@ -144,6 +156,21 @@
             "Version of the route table",
             it.route_table_version.clone(),
         );
+        registry.register(
+            "store_era",
+            "Era of this host's copy of the platform's store",
+            it.store_era.clone(),
+        );
+        registry.register(
+            "retained_items",
+            "Items in effect although the store has older ones or none",
+            it.retained_items.clone(),
+        );
+        registry.register(
+            "noticed_upstreams",
+            "Upstreams that have announced something of themselves",
+            it.noticed_upstreams.clone(),
+        );
         *lock(&meter.registry) = registry;
         meter
     }
@@ -202,6 +229,10 @@
             .set(gauges.age.map_or(-1.0, |age| age.as_secs_f64()));
         let version = i64::try_from(gauges.version).unwrap_or(i64::MAX);
         self.route_table_version.set(version);
+        self.store_era
+            .set(i64::try_from(gauges.era).unwrap_or(i64::MAX));
+        self.retained_items.set(count(gauges.retained));
+        self.noticed_upstreams.set(count(gauges.noticed));
         let mut text = String::new();
         encode(&mut text, &lock(&self.registry))?;
         Ok(text)
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -105,6 +105,9 @@
         upstreams: view.upstreams(),
         hosts: lock(&state.peers).live(now).count() + 1,
         age: state.store_age(boot::Instant::now()),
+        era: state.progress().position.era,
+        retained: lock(&state.mirror).retained(),
+        noticed: lock(&state.notices).len(),
         version: view.route_table().map_or(0, |table| table.version),
     }
 }
