Compare a host's first route table only with hosts that have joined

Callers could use a revoked key at a host that started beside another one, while the store was back from an older copy: each heard the other first, with the same older table, and accepted keys before either had heard a host that knew better.

Cause: any host that was heard counted, also one that had just started.

Evidence: found by reading; the rule is a decision of its own now (gateway::join).

Change: hosts say in their messages whether they have joined. Where all have just started, each waits half a second after its first read, as nobody knows better.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod headers;
 pub mod health;
 pub mod job;
+pub mod join;
 pub mod limit;
 pub mod listen;
 pub mod load;
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -23,7 +23,7 @@
 use crate::policy::quarantine;
 
 /// Version of the format.
-pub const VERSION: u8 = 8;
+pub const VERSION: u8 = 9;
 
 /// Maximum size of a datagram that is not fragmented.
 pub const DATAGRAM_BYTES: usize = 1_400;
@@ -45,6 +45,8 @@
     pub is_leaving: bool,
     /// How far its knowledge of the store has come.
     pub progress: peers::Progress,
+    /// Whether it has compared its route table with those of others since its start.
+    pub has_joined: bool,
     /// Age of its copy of the store in milliseconds, if it has one.
     pub age_ms: Option<u64>,
     /// Speed of its link in Mbit/s.
@@ -141,6 +143,7 @@
             process: self.process,
             is_leaving: self.is_leaving,
             progress: self.progress,
+            has_joined: self.has_joined,
             age: self.age_ms.map(Duration::from_millis),
             link_mbps: self.link_mbps,
             is_informed: self.is_informed,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -239,6 +239,7 @@
         zone: state.options.host.zone.clone(),
         is_leaving: state.draining.is_cancelled(),
         progress: state.progress(),
+        has_joined: state.has_joined.load(Ordering::Relaxed),
         age_ms: age.map(millis),
         link_mbps: state.live_options().link_mbps,
         is_informed: state.is_informed.load(Ordering::Relaxed),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::gateway::join::Others;
 use crate::ident;
 use crate::log::millis;
 use crate::mirror::Position;
@@ -99,6 +100,8 @@
     pub is_leaving: bool,
     /// How far its knowledge of the store has come.
     pub progress: Progress,
+    /// Whether it has compared its route table with those of others since its start.
+    pub has_joined: bool,
     /// Age of its copy of the store at its last message, if it has one.
     pub age: Option<Duration>,
     /// Speed of its link in Mbit/s.
@@ -126,6 +129,8 @@
     pub is_leaving: bool,
     /// How far its knowledge of the store has come.
     pub progress: Progress,
+    /// Whether it has compared its route table with those of others since its start.
+    pub has_joined: bool,
     /// Age of its copy of the store, if it has one.
     pub age: Option<Duration>,
     /// Speed of its link in Mbit/s.
@@ -180,6 +185,7 @@
             last_seen: now,
             is_leaving: message.is_leaving,
             progress: message.progress,
+            has_joined: message.has_joined,
             age: message.age,
             link_mbps: message.link_mbps,
             is_informed: message.is_informed,
@@ -204,6 +210,7 @@
             last_seen: seen,
             is_leaving: false,
             progress: Progress::default(),
+            has_joined: false,
             age: None,
             link_mbps: 0,
             is_informed: false,
@@ -222,6 +229,17 @@
         })
     }
 
+    /// Returns what this host knows of others when it starts.
+    pub fn others(&mut self, now: Instant) -> Others {
+        let joined = self.live(now).filter(|(_, peer)| peer.has_joined);
+        let latest = joined.map(|(_, peer)| peer.progress.table_version).max();
+        match latest {
+            Some(latest) => Others::Latest(latest),
+            None if self.targets(now).is_empty() => Others::None,
+            None => Others::Silent,
+        }
+    }
+
     /// Returns the hosts that may be sent requests: the live ones and, in a large fleet,
     /// hosts of other zones, which send no messages to this one but are seen by others.
     pub fn addressable(&self, now: Instant) -> impl Iterator<Item = (Ipv4Addr, &ident::Zone)> {
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -23,6 +23,9 @@
 use crate::gateway::follow::MAX_AGE;
 use crate::gateway::follow::follow;
 use crate::gateway::follow::follow_any;
+use crate::gateway::join::Join;
+use crate::gateway::join::Others;
+use crate::gateway::join::Step;
 use crate::gateway::peers;
 use crate::gateway::source::Fault;
 use crate::gateway::source::Snapshot;
@@ -73,10 +76,6 @@
 /// Number of hosts per zone that read the store in a large fleet.
 const READERS_PER_ZONE: usize = 1;
 
-/// Maximum time for which a host that starts waits for messages of others. Each sends several
-/// in that time to the hosts of its zone.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Interval at which a host that starts looks for such messages.
 const JOIN_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -127,54 +126,30 @@
     }
 }
 
-/// Lets this host accept keys once its route table is as late as those of the hosts that it
-/// hears, or [`JOIN_TIMEOUT`] after it has a table.
-///
-/// A store that came back older lists keys that were revoked. Only other hosts know that.
+/// Lets this host accept keys once it has compared its route table with those of others.
 pub async fn join(state: Arc<State>) {
+    let mut join = Join::default();
     let joined = async {
-        let mut has_table_since = None;
         loop {
-            let now = Instant::now();
-            let own = state.progress().table_version;
-            if own > 0 {
-                let since = *has_table_since.get_or_insert(now);
-                match table_lag(&state, now, own) {
-                    Lag::Current => return,
-                    _ if now.duration_since(since) >= JOIN_TIMEOUT => return,
-                    Lag::Behind => follow_any(&state).await,
-                    Lag::Unknown => {}
-                }
+            let version = state.progress().table_version;
+            let others = match state.options.gateway.first_start {
+                true => Others::None,
+                false => lock(&state.peers).others(Instant::now()),
+            };
+            match join.next(Instant::now(), version, others) {
+                Step::Accept => return,
+                Step::Follow => follow_any(&state).await,
+                Step::Wait => {}
             }
             tokio::time::sleep(JOIN_INTERVAL).await;
         }
     };
     tokio::select! {
         () = state.stop.cancelled() => {}
-        () = joined => state.has_joined.store(true, Ordering::Relaxed),
-    }
-}
-
-/// How the route table of a host that starts compares with those of others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Lag {
-    /// As late as those of the hosts that are heard, or there are no others.
-    Current,
-    /// Another host has a later one.
-    Behind,
-    /// No other host was heard yet.
-    Unknown,
-}
-
-fn table_lag(state: &State, now: Instant, table_version: u64) -> Lag {
-    let mut peers = lock(&state.peers);
-    let is_alone = state.options.gateway.first_start || peers.targets(now).is_empty();
-    let latest = peers.live(now).map(|(_, peer)| peer.progress.table_version);
-    match latest.max() {
-        Some(latest) if latest > table_version => Lag::Behind,
-        Some(_) => Lag::Current,
-        None if is_alone => Lag::Current,
-        None => Lag::Unknown,
+        () = joined => {
+            state.has_joined.store(true, Ordering::Relaxed);
+            state.gossip_urgent.notify_one();
+        }
     }
 }
 
--- a/tests/gateway_origin.rs
+++ b/tests/gateway_origin.rs
@@ -200,6 +200,7 @@
         process: 1,
         is_leaving,
         progress: Progress::default(),
+        has_joined: true,
         age: None,
         link_mbps: 1,
         is_informed: true,
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -303,6 +303,7 @@
         process,
         is_leaving: false,
         progress: progress(1, 1),
+        has_joined: true,
         age: Some(Duration::ZERO),
         link_mbps: 10,
         is_informed: false,
