Count the time that messages waited unread at a suspended host

An upstream with a limit could get more than it takes: a host that was frozen read the messages that had arrived meanwhile with the ages that they had when they were sent, so an old notice, such as the end of a limit, looked new, and the host told the others so.

Cause: the receiver took the age of a notice as of reading, not of arrival.

Change: a round that is half a second late shows a suspension. Datagrams read within 200 ms of it count as older by that time.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -51,6 +51,12 @@
 /// fleets.
 const DATAGRAMS_PER_SECOND: f64 = 60.0;
 
+/// Delay of a round from which on the host counts as suspended. A busy host is late by less.
+const MIN_SUSPENSION: Duration = Duration::from_millis(500);
+
+/// Time in which the datagrams that arrived during a suspension are read.
+const BACKLOG_TIME: Duration = Duration::from_millis(200);
+
 /// Minimum time between rounds while updates are urgent.
 const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -63,19 +69,22 @@
     let mut next = Instant::now();
     let mut earliest = next;
     let mut relay = Relay::default();
+    let mut backlog = Backlog::default();
     loop {
         tokio::select! {
             () = state.stop.cancelled() => return,
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     let bytes = buffer.get(..length).unwrap_or_default();
-                    if receive(&state, from, bytes, &mut relay) {
+                    let unread = backlog.delay(Instant::now(), next);
+                    if receive(&state, from, bytes, &mut relay, unread) {
                         forward(&state, &socket, bytes).await;
                     }
                 }
                 Err(error) => warn!(%error, "peers: can't receive a datagram"),
             },
             () = tokio::time::sleep_until(next) => {
+                backlog.observe(Instant::now(), next);
                 let sent = send(&state, &socket, &mut relay).await;
                 next = Instant::now() + interval(&state, sent.count);
                 earliest = Instant::now() + urgent_interval(&sent);
@@ -86,6 +95,34 @@
     }
 }
 
+/// Tells how long datagrams may have waited to be read.
+///
+/// A host that was suspended finds those that arrived meanwhile. Their contents look newer than
+/// they are by up to the time in which nothing was read.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Backlog {
+    /// How long nothing was read, and until when such datagrams may still be read.
+    late: Option<(Duration, Instant)>,
+}
+
+impl Backlog {
+    /// Records that a round is due, or was: one that is late shows that the host was suspended.
+    pub fn observe(&mut self, now: Instant, due: Instant) {
+        let delay = now.saturating_duration_since(due);
+        if delay >= MIN_SUSPENSION {
+            let longest = self.late.map_or(delay, |(late, _)| delay.max(late));
+            self.late = Some((longest, now + BACKLOG_TIME));
+        }
+    }
+
+    /// Returns how long a datagram that is read now may have waited.
+    pub fn delay(&mut self, now: Instant, due: Instant) -> Duration {
+        self.observe(now, due);
+        self.late = self.late.filter(|(_, until)| *until > now);
+        self.late.map_or(Duration::ZERO, |(late, _)| late)
+    }
+}
+
 /// Returns the time to the next round after one with this many recipients.
 fn interval(state: &State, hosts: usize) -> Duration {
     let minimum = state.live_options().gossip_pause;
@@ -302,8 +339,14 @@
 }
 
 /// Merges a datagram into the shared tables, and returns whether it is to be forwarded
-/// to the hosts of this zone.
-fn receive(state: &State, from: SocketAddr, bytes: &[u8], relay: &mut Relay) -> bool {
+/// to the hosts of this zone. It may have waited for the time `unread`.
+fn receive(
+    state: &State,
+    from: SocketAddr,
+    bytes: &[u8],
+    relay: &mut Relay,
+    unread: Duration,
+) -> bool {
     let IpAddr::V4(address) = from.ip() else {
         return false;
     };
@@ -336,6 +379,7 @@
                 }
                 false => {}
             }
+            merge_notices(state, &message.report.notices, unread);
             merge(state, address, &message.sender, source, message.report);
             false
         }
@@ -351,6 +395,7 @@
         Datagram::Summary(summary) => {
             let is_direct = summary.address == address;
             let source = summary.source();
+            merge_notices(state, &summary.report.notices, unread);
             merge(
                 state,
                 summary.address,
@@ -386,7 +431,6 @@
             health.merge(now, upstream, left, *is_down, is_same_zone);
         }
     }
-    merge_notices(state, now, &report.notices);
     let loads = report.loads.into_iter().collect();
     lock(&state.loads).report(now, source, loads);
     {
@@ -407,10 +451,12 @@
     }
 }
 
-/// Merges what other hosts read in responses of upstreams.
-fn merge_notices(state: &State, now: Instant, reports: &[notice::Report]) {
+/// Merges what other hosts read in responses of upstreams, from a datagram that may have waited
+/// for the time `unread`.
+fn merge_notices(state: &State, reports: &[notice::Report], unread: Duration) {
+    let now = Instant::now();
     for report in reports {
-        let news = lock(&state.notices).merge(now, report);
+        let news = lock(&state.notices).merge(now, report, unread);
         let (upstream, age_ms) = (&report.upstream, report.age_ms);
         if news.is_leaving {
             info!(%upstream, age_ms, "upstream: announced to another host that it leaves");
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -134,9 +134,10 @@
         }
     }
 
-    /// Merges another host's report, and returns what is news.
-    pub fn merge(&mut self, now: Instant, report: &Report) -> News {
-        let age = Duration::from_millis(report.age_ms);
+    /// Merges another host's report, which may have waited for the time `unread` before it was
+    /// read, and returns what is news.
+    pub fn merge(&mut self, now: Instant, report: &Report, unread: Duration) -> News {
+        let age = Duration::from_millis(report.age_ms).saturating_add(unread);
         let is_sound = report.limit.is_none_or(|it| it.is_finite() && it >= 0.0);
         if !is_sound || age >= RETENTION {
             return News::default();
--- a/tests/gateway_notice.rs
+++ b/tests/gateway_notice.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use masticmoor::gateway::gossip::Backlog;
 use masticmoor::gateway::headers::Notice;
 use masticmoor::gateway::notice::Report;
 use masticmoor::gateway::notice::Table;
@@ -58,9 +59,17 @@
 async fn a_report_of_a_later_run_applies_while_the_earlier_one_is_listed() {
     let mut table = Table::default();
     let now = Instant::now();
-    assert!(table.merge(now, &leaving("u1", 6, 10)).is_any());
+    assert!(
+        table
+            .merge(now, &leaving("u1", 6, 10), Duration::ZERO)
+            .is_any()
+    );
     assert!(table.is_leaving(&upstream("u1", 5)));
-    assert!(!table.merge(now, &leaving("u1", 4, 0)).is_any());
+    assert!(
+        !table
+            .merge(now, &leaving("u1", 4, 0), Duration::ZERO)
+            .is_any()
+    );
     assert!(!table.is_leaving(&upstream("u1", 7)));
 }
 
@@ -70,14 +79,14 @@
     record_leaving(&mut table, Instant::now(), &upstream("u1", 5));
     advance(Duration::from_secs(500)).await;
     // A report of the same reading doesn't renew it.
-    table.merge(Instant::now(), &leaving("u1", 5, 500_000));
+    table.merge(Instant::now(), &leaving("u1", 5, 500_000), Duration::ZERO);
     advance(Duration::from_secs(99)).await;
     assert_eq!(table.reports(Instant::now()).len(), 1);
     advance(Duration::from_secs(2)).await;
     assert!(table.reports(Instant::now()).is_empty());
     assert!(!table.is_leaving(&upstream("u1", 5)));
     let late = leaving("u1", 5, 601_000);
-    assert!(!table.merge(Instant::now(), &late).is_any());
+    assert!(!table.merge(Instant::now(), &late, Duration::ZERO).is_any());
 }
 
 #[tokio::test(start_paused = true)]
@@ -182,12 +191,69 @@
         limit,
         ..leaving("u1", 5, age_ms)
     };
-    assert!(table.merge(now, &report(Some(3.0), 500)).is_any());
-    assert!(!table.merge(now, &report(Some(9.0), 800)).is_any());
-    assert!(table.merge(now, &report(None, 200)).is_any());
-    assert!(!table.merge(now, &report(Some(3.0), 400)).is_any());
+    assert!(
+        table
+            .merge(now, &report(Some(3.0), 500), Duration::ZERO)
+            .is_any()
+    );
+    assert!(
+        !table
+            .merge(now, &report(Some(9.0), 800), Duration::ZERO)
+            .is_any()
+    );
+    assert!(
+        table
+            .merge(now, &report(None, 200), Duration::ZERO)
+            .is_any()
+    );
+    assert!(
+        !table
+            .merge(now, &report(Some(3.0), 400), Duration::ZERO)
+            .is_any()
+    );
     assert_eq!(table.limit(&one), None);
     for wrong in [f64::NAN, f64::INFINITY, -1.0] {
-        assert!(!table.merge(now, &report(Some(wrong), 0)).is_any());
+        assert!(
+            !table
+                .merge(now, &report(Some(wrong), 0), Duration::ZERO)
+                .is_any()
+        );
     }
 }
+
+/// A host that was frozen reads messages that are older than they say.
+#[tokio::test(start_paused = true)]
+async fn a_report_that_waited_does_not_replace_what_was_read_since() {
+    let mut table = Table::default();
+    let one = upstream("u1", 5);
+    advance(Duration::from_secs(10)).await;
+    let read_at = Instant::now();
+    table.record(read_at, read_at, &one, &limited(Some(4.0)));
+    advance(Duration::from_secs(1)).await;
+    let ended = Report {
+        is_leaving: false,
+        ..leaving("u1", 5, 0)
+    };
+    let waited = Duration::from_secs(3);
+    assert!(!table.merge(Instant::now(), &ended, waited).is_any());
+    assert_eq!(table.limit(&one), Some(4.0));
+    assert!(table.merge(Instant::now(), &ended, Duration::ZERO).is_any());
+}
+
+/// Guards against messages of before a freeze that look like new ones.
+#[tokio::test(start_paused = true)]
+async fn messages_of_a_suspension_are_told_from_later_ones() {
+    let mut backlog = Backlog::default();
+    let due = Instant::now() + Duration::from_millis(100);
+    advance(Duration::from_millis(150)).await;
+    assert_eq!(backlog.delay(Instant::now(), due), Duration::ZERO);
+    advance(Duration::from_secs(4)).await;
+    let late = backlog.delay(Instant::now(), due);
+    assert!(late >= Duration::from_secs(4), "{late:?}");
+    // The next round is due, and more of these messages are read.
+    let due = Instant::now() + Duration::from_millis(100);
+    advance(Duration::from_millis(50)).await;
+    assert_eq!(backlog.delay(Instant::now(), due), late);
+    advance(Duration::from_millis(200)).await;
+    assert_eq!(backlog.delay(Instant::now(), due), Duration::ZERO);
+}
--- a/tests/gateway_path/limits.rs
+++ b/tests/gateway_path/limits.rs
@@ -1,9 +1,16 @@
 //! Upstreams that name the request rate that they take from all hosts together.
 
+use std::net::UdpSocket;
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use masticmoor::gateway::datagram::Message;
+use masticmoor::gateway::datagram::Report;
+use masticmoor::gateway::datagram::Sender;
+use masticmoor::gateway::notice;
+use masticmoor::gateway::peers::Progress;
 use masticmoor::gateway::table::Kind;
+use masticmoor::lock::lock;
 use masticmoor::outcome::Outcome;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -114,3 +121,54 @@
     let statuses = send_for(&fleet, Duration::from_millis(300), "c").await;
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+/// Returns a message of another host that read the limit of an upstream just now.
+fn message(upstream: &str) -> Vec<u8> {
+    let message = Message {
+        sender: Sender {
+            process: 7,
+            zone: "z1".into(),
+            is_leaving: false,
+            progress: Progress::default(),
+            has_joined: true,
+            age_ms: None,
+            link_mbps: 10,
+            is_informed: false,
+        },
+        is_settling: false,
+        report: Report {
+            notices: vec![notice::Report {
+                upstream: upstream.into(),
+                started_ms: None,
+                is_leaving: false,
+                limit: Some(LIMIT),
+                age_ms: 0,
+            }],
+            ..Report::default()
+        },
+    };
+    message.encode().unwrap()
+}
+
+/// The message arrives at the beginning of the freeze.
+#[tokio::test]
+async fn a_notice_that_waited_while_its_host_was_frozen_is_not_reported_as_new() {
+    let limited = Upstream::start("u1", |_| Step::Respond(200, "found")).await;
+    let fleet = Host::start_fleet(1, Kind::Idempotent, &[&limited]).await;
+    let state = &fleet[0].state;
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let to = (state.address, state.options.gateway.gossip_port);
+    socket.send_to(&message("u1"), to).unwrap();
+    // Blocks the only thread, and with it all tasks.
+    std::thread::sleep(Duration::from_millis(1_500));
+    let awake_at = Instant::now();
+    let report = loop {
+        let reports = lock(&state.notices).reports(Instant::now());
+        if let Some(report) = reports.into_iter().next() {
+            break report;
+        }
+        assert!(awake_at.elapsed() < Duration::from_secs(2), "no notice");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    assert!(report.age_ms >= 1_000, "{report:?}");
+}
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -302,7 +302,7 @@
         &mut tables,
         notice::Table::reports,
         |table, now, report| {
-            table.merge(now, report);
+            table.merge(now, report, Duration::ZERO);
         },
         |table| table.is_leaving(&one) && table.limit(&one) == Some(2.5),
     )
