--- a/tests/gateway_path/rest.rs
+++ b/tests/gateway_path/rest.rs
@@ -72,9 +72,12 @@
 }
 
 /// The caller learns when to come back instead of waiting.
+#[rstest]
+#[case::rejected(Step::Reject)]
+#[case::answered(Step::Respond(503, "busy"))]
 #[tokio::test]
-async fn a_request_is_refused_at_once_if_all_upstreams_rest() {
-    let resting = Upstream::start("u1", |_| Step::Reject).await;
+async fn a_request_is_refused_at_once_if_all_upstreams_rest(#[case] step: Step) {
+    let resting = Upstream::start("u1", move |_| step).await;
     resting.announce("retry-after: 2.5\r\n");
     let host = Host::start(Kind::NonIdempotent, &[&resting]).await;
     caller::send(host.caller, "a1", &[]).await;
