--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -90,6 +90,33 @@
     pub sound: f64,
 }
 
+/// A listed upstream of a service, whether or not it can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Requests of all hosts in flight there.
+    pub load: u32,
+    /// Whether it may get requests, by its results.
+    pub status: Status,
+    /// Whether it is cold.
+    pub is_cold: bool,
+}
+
+impl Mean {
+    /// Returns the mean loads of a service's upstreams.
+    pub fn of(members: &[Member]) -> Self {
+        let mean = |loads: &mut dyn Iterator<Item = u32>| {
+            let (total, count) =
+                loads.fold((0, 0_u32), |(total, count), load| (total + load, count + 1));
+            f64::from(total) / f64::from(count.max(1))
+        };
+        let is_sound = |it: &&Member| it.status == Status::Healthy && !it.is_cold;
+        Self {
+            listed: mean(&mut members.iter().map(|it| it.load)),
+            sound: mean(&mut members.iter().filter(is_sound).map(|it| it.load)),
+        }
+    }
+}
+
 /// Limit on the load of an upstream when all that can be chosen are above their caps. Users
 /// allow twice the mean load plus three requests, also if few can be chosen.
 const FALLBACK_CAP: Cap = cap(2.0, 2.5);
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -21,6 +21,8 @@
 use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Choice;
+use crate::gateway::placement::Mean;
+use crate::gateway::placement::Member;
 use crate::gateway::reader;
 use crate::gateway::state::State;
 use crate::gateway::upstream::Record;
@@ -120,14 +122,12 @@
                 })
                 .collect();
             let may_probe = job.route.kind.is_repeatable();
-            let load = |record: &Arc<Record>| loads.total(&record.upstream.id);
-            let is_sound = |record: &&Arc<Record>| {
-                status(record) == Status::Healthy && record.cold_until <= boot_now
-            };
-            let mean = placement::Mean {
-                listed: mean_of(view.listed(&job.service).map(load)),
-                sound: mean_of(view.listed(&job.service).filter(is_sound).map(load)),
-            };
+            let members = view.listed(&job.service).map(|record| Member {
+                load: loads.total(&record.upstream.id),
+                status: status(record),
+                is_cold: record.cold_until > boot_now,
+            });
+            let mean = Mean::of(&members.collect::<Vec<_>>());
             let choice = match job.route.is_sticky {
                 true => placement::engine(job.prompt, mean, &candidates, may_probe),
                 false => placement::plain(self.random_fraction(), mean, &candidates, may_probe),
@@ -337,12 +337,6 @@
     waits.chain(rest).chain([MAX_LIMITED_WAIT]).min()
 }
 
-/// Returns the mean of some loads, zero for none.
-fn mean_of(loads: impl Iterator<Item = u32>) -> f64 {
-    let (total, count) = loads.fold((0, 0_u32), |(total, count), load| (total + load, count + 1));
-    f64::from(total) / f64::from(count.max(1))
-}
-
 /// Returns whether `held` segments are the whole shared prompt of a request.
 fn is_complete(held: usize, job: &Job) -> bool {
     held > 0 && held == job.segments.len()
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -6,6 +6,7 @@
 use masticmoor::gateway::placement::Choice;
 use masticmoor::gateway::placement::Holder;
 use masticmoor::gateway::placement::Mean;
+use masticmoor::gateway::placement::Member;
 use masticmoor::gateway::placement::Prompt;
 use masticmoor::ident::Upstream;
 use proptest::prelude::*;
@@ -327,6 +328,32 @@
     assert_eq!(choice, Choice::Send(0));
 }
 
+/// In a zone that is cut off, the upstreams of other zones are due for a probe and hold nothing.
+/// Counted in the mean, they would leave those of the zone a fraction of their capacity.
+#[rstest]
+#[case::due_for_a_probe(Status::Probe, false)]
+#[case::suspect(Status::Suspect, false)]
+#[case::unreachable(Status::Down, false)]
+#[case::cold(Status::Healthy, true)]
+fn upstreams_that_can_take_nothing_do_not_lower_the_mean_of_the_sound_ones(
+    #[case] status: Status,
+    #[case] is_cold: bool,
+) {
+    let sound = Member {
+        load: 12,
+        status: Status::Healthy,
+        is_cold: false,
+    };
+    let idle = Member {
+        load: 0,
+        status,
+        is_cold,
+    };
+    let mean = Mean::of(&[sound, sound, idle, idle]);
+    assert_eq!((mean.listed, mean.sound), (6.0, 12.0));
+    assert_eq!(Mean::of(&[]), Mean::default());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(3),
