--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -167,7 +167,7 @@
             Err(Loss::Rejected(status)) => {
                 info!(id = job.id, %upstream, status = status.as_u16(), "request: rejected");
                 if status == http::StatusCode::MISDIRECTED_REQUEST {
-                    // Another upstream has its address: it would be the least loaded of all.
+                    // Running nothing, it would stay the least loaded candidate.
                     record_observation(state, &upstream, Observation::Lost);
                 }
                 history.tried.push(upstream);
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -91,7 +91,7 @@
     read_at: Instant,
     /// When this host learned what it didn't know before.
     learned_at: Instant,
-    /// This host's share of the limit.
+    /// This host's share of the limit, once it was needed.
     bucket: Option<Bucket>,
 }
 
--- a/src/mirror/retained.rs
+++ b/src/mirror/retained.rs
@@ -45,7 +45,7 @@
 /// Maximum number of removals that are remembered. The oldest are forgotten first.
 const MAX_REMOVALS: usize = 4_096;
 
-/// What is believed under a key.
+/// An item, or its absence, that is in effect instead of the store's.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Retained {
     /// The item, or `None` if there is none.
--- a/src/mirror/table.rs
+++ b/src/mirror/table.rs
@@ -271,8 +271,8 @@
     }
 }
 
-/// Returns the items of another host as facts, which this one retains if they are newer than
-/// its own.
+/// Converts the items of a host that is behind into facts, as some may still be newer than the
+/// store's older copy.
 pub fn facts_of(items: BTreeMap<String, Item>, stamp: StampOf) -> Vec<Fact> {
     let facts = items.into_iter().filter_map(|(key, item)| {
         let stamp = stamp(&key, &item.value)?;
