--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -2,14 +2,11 @@
 //! a few upstreams.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -24,31 +21,24 @@
 use masticmoor::gateway::headers::Notice;
 use masticmoor::gateway::headers::Segment;
 use masticmoor::gateway::serve;
-use masticmoor::gateway::source::Delta;
-use masticmoor::gateway::source::Entry;
-use masticmoor::gateway::source::Fault;
-use masticmoor::gateway::source::Snapshot;
-use masticmoor::gateway::source::Source;
-use masticmoor::gateway::table;
 use masticmoor::gateway::table::Kind;
-use masticmoor::gateway::table::Table;
 use masticmoor::gateway::upstream::Upstream as Listed;
 use masticmoor::lock::lock;
 use masticmoor::mirror::Event;
-use masticmoor::mirror::Item;
-use masticmoor::mirror::Position;
-use masticmoor::mirror::Stamp;
-use masticmoor::mirror::stamp::Writer;
 use masticmoor::options::Options;
 use masticmoor::policy::quarantine;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::TIMEOUT;
+use crate::store::Store;
+use crate::store::last_revision;
+use crate::store::listed;
+use crate::store::position;
+use crate::store::source;
 use crate::upstream::Upstream;
 
 /// Settings of each gateway.
@@ -68,9 +58,6 @@
 /// Time after which a host that can't read the store refuses keys.
 pub const MAX_KEY_AGE: Duration = Duration::from_millis(3_000);
 
-/// Revision of the store at the start.
-const FIRST_REVISION: u64 = 1;
-
 /// A running gateway.
 pub struct Host {
     /// Address for callers.
@@ -82,22 +69,6 @@
     store: Arc<Store>,
 }
 
-/// State of the store and of the engines' caches.
-#[derive(Default)]
-struct Store {
-    /// Whether calls get no response.
-    is_silent: AtomicBool,
-    /// Era, which rises when the store comes back from its first copy.
-    era: AtomicU64,
-    /// Upstreams by key, including those that were deleted since.
-    upstreams: Mutex<BTreeMap<String, Listed>>,
-    /// Changes after the first revision.
-    changes: Mutex<Vec<Event>>,
-    changed: Notify,
-    /// Cached prompt segments that engines list, by address.
-    cached: Mutex<BTreeMap<SocketAddr, BTreeSet<u64>>>,
-}
-
 impl Host {
     /// Starts a gateway with one route of a kind to some upstreams, and waits until it
     /// is ready.
@@ -418,161 +389,3 @@
         Self { prefix, port }
     }
 }
-
-fn source(kind: Option<Kind>, store: &Arc<Store>) -> Source {
-    let table = kind.map(|_| ("table".to_owned(), item()));
-    let upstreams = lock(&store.upstreams).clone().into_keys();
-    let upstreams = upstreams.map(|key| (key, item()));
-    let items: BTreeMap<String, Item> = table.into_iter().chain(upstreams).collect();
-    Source {
-        list: Box::new({
-            let store = store.clone();
-            move || {
-                let (store, items) = (store.clone(), items.clone());
-                Box::pin(async move {
-                    respond(&store).await;
-                    let position = position(&store, &[]);
-                    Ok::<_, Fault>(Snapshot { items, position })
-                })
-            }
-        }),
-        watch: Box::new({
-            let store = store.clone();
-            move |revision, wait| {
-                let store = store.clone();
-                Box::pin(async move {
-                    // Responds after a change as well as at the end of the wait time.
-                    let _notified = timeout(wait, store.changed.notified()).await;
-                    respond(&store).await;
-                    delta(&store, revision)
-                })
-            }
-        }),
-        decode: Box::new({
-            let store = store.clone();
-            move |key, value| {
-                let upstream = lock(&store.upstreams).get(key).cloned();
-                let table = kind.map(|kind| Entry::Table(Box::new(route_table(kind, value))));
-                Ok(upstream.map(Entry::Upstream).or(table))
-            }
-        }),
-        stamp: |key, value| {
-            (key == "table").then(|| Stamp {
-                writer: Writer::Operator,
-                started_ms: 0,
-                sequence: Some(table_version(value)),
-            })
-        },
-        cached_segments: Box::new({
-            let store = store.clone();
-            move |address| {
-                let cached = lock(&store.cached).get(&address).cloned();
-                Box::pin(async move { cached.ok_or(Fault::Refused(404)) })
-            }
-        }),
-    }
-}
-
-fn last_revision(changes: &[Event]) -> u64 {
-    changes.last().map_or(FIRST_REVISION, |it| it.revision)
-}
-
-/// Returns the store's position after some changes in the current era.
-fn position(store: &Store, changes: &[Event]) -> Position {
-    Position {
-        era: store.era.load(Ordering::Relaxed),
-        revision: last_revision(changes),
-    }
-}
-
-fn delta(store: &Store, after: u64) -> Result<Delta, Fault> {
-    let changes = lock(&store.changes);
-    if after > last_revision(&changes) {
-        return Err(Fault::HistoryGone);
-    }
-    let events = changes.iter().filter(|event| event.revision > after);
-    Ok(Delta {
-        events: events.cloned().collect(),
-        position: position(store, &changes),
-    })
-}
-
-/// Returns the version of a route table by its item's value: a number, or nothing for the
-/// first one.
-fn table_version(value: &[u8]) -> u64 {
-    let text = std::str::from_utf8(value).unwrap();
-    let number = text.split(' ').next().unwrap();
-    number.parse().unwrap_or(1)
-}
-
-/// Returns once the store may respond; never if it is silent.
-async fn respond(store: &Store) {
-    if store.is_silent.load(Ordering::Relaxed) {
-        std::future::pending::<()>().await;
-    }
-}
-
-fn item() -> Item {
-    Item {
-        value: Bytes::new(),
-        revision: 1,
-    }
-}
-
-/// Returns the store's entries of some upstreams, by key.
-fn listed(upstreams: &[&Upstream]) -> BTreeMap<String, Listed> {
-    let entries = upstreams.iter().map(|upstream| {
-        let entry = Listed {
-            id: upstream.id.into(),
-            service: "desk".into(),
-            version: upstream.version.into(),
-            address: upstream.address,
-            zone: "z1".into(),
-            slots: 6,
-            is_draining: false,
-            cold_left: Duration::ZERO,
-            started_ms: None,
-        };
-        (format!("u/{}", upstream.id), entry)
-    });
-    entries.collect()
-}
-
-/// Keys and their workspaces.
-const KEYS: [(&str, &str); 2] = [("k1", "school"), ("k2", "club")];
-
-fn route_table(kind: Kind, value: &[u8]) -> Table {
-    let has_keys = !value.ends_with(b"without keys");
-    let route = table::Route {
-        name: "r1".to_owned(),
-        host: "one.example".to_owned(),
-        prefix: "/a/".to_owned(),
-        kind,
-        timeout: Duration::from_secs(5),
-        objective: Duration::from_millis(100),
-        max_event_gap: Some(Duration::from_millis(100)),
-        priority: 0,
-        max_attempts: 2,
-        is_public: false,
-        is_sticky: kind.is_stream(),
-        backends: vec![table::Backend {
-            service: "desk".into(),
-            weight: 1.0,
-        }],
-    };
-    let keys = KEYS.map(|(key, workspace)| {
-        let workspace = table::Workspace {
-            name: workspace.into(),
-            priority: None,
-        };
-        let keys = has_keys.then(|| key.to_owned());
-        (workspace, keys.into_iter().collect())
-    });
-    Table::new(
-        table_version(value),
-        table::Limits::default(),
-        vec![route],
-        Vec::new(),
-        Some(keys.into()),
-    )
-}
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -22,6 +22,7 @@
 mod limits;
 mod rest;
 mod settings;
+mod store;
 mod truncation;
 mod upstream;
 mod versions;
