--- a/tests/gateway_memory/main.rs
+++ b/tests/gateway_memory/main.rs
@@ -16,6 +16,8 @@
 #[expect(dead_code, reason = "shared with other tests")]
 #[path = "../gateway_path/host.rs"]
 mod host;
+#[path = "../gateway_path/store.rs"]
+mod store;
 #[expect(dead_code, reason = "shared with other tests")]
 #[path = "../gateway_path/upstream.rs"]
 mod upstream;
