--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,8 +11,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::join::Others;
+use crate::gateway::upstream::Upstream;
 use crate::ident;
 use crate::log::millis;
 use crate::mirror::Position;
@@ -315,6 +317,26 @@
         peers.filter(move |(_, peer)| now.duration_since(peer.last_seen) < SHARE_TIMEOUT)
     }
 
+    /// Returns the rank of this host, which is in `zone`, among the hosts that share an
+    /// upstream's limits, 0 first.
+    pub fn rank(&self, now: Instant, zone: &ident::Zone, upstream: &Upstream) -> usize {
+        let score = |address: &Ipv4Addr| {
+            let seed = u64::from(u32::from(*address));
+            xxh3_64_with_seed(upstream.id.as_str().as_bytes(), seed)
+        };
+        let own_score = score(&self.local);
+        let is_local = *zone == upstream.zone;
+        // Hosts of the upstream's zone rank first, as their prompts stay in the zone.
+        let ahead = self.sharing_peers(now).filter(|(address, peer)| {
+            match (peer.zone == upstream.zone, is_local) {
+                (true, false) => true,
+                (false, true) => false,
+                _ => score(address) > own_score,
+            }
+        });
+        ahead.count()
+    }
+
     /// Returns the hosts that gossip may be sent to: known hosts and unknown seeds.
     /// Removes hosts that have been silent for too long.
     pub fn targets(&mut self, now: Instant) -> Vec<(Ipv4Addr, Option<ident::Zone>)> {
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -5,19 +5,16 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::boot;
 use crate::gateway::cold_start;
 use crate::gateway::health::Status;
 use crate::gateway::job::Job;
 use crate::gateway::limit;
-use crate::gateway::peers;
 use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Choice;
@@ -271,10 +268,12 @@
             return vec![None; upstreams.len()];
         }
         let is_settling = peers.is_settling(now);
+        let zone = &self.options.host.zone;
         let allowances = upstreams.iter().map(|record| {
             let upstream = &record.upstream;
             let bucket = notices.bucket(now, upstream, |limit| {
-                let (hosts, rank) = self.rank(now, &peers, upstream);
+                let hosts = peers.sharer_count(now);
+                let rank = peers.rank(now, zone, upstream);
                 limit::share(limit, hosts, rank, is_settling)
             })?;
             Some(Allowance {
@@ -288,30 +287,14 @@
     /// Returns how many more requests this host may start at a cold upstream in the
     /// current window. `limit` is the rate for all hosts together, per second.
     fn cold_quota(&self, now: Instant, upstream: &Upstream, limit: f64) -> usize {
-        let (hosts, rank) = self.rank(now, &lock(&self.peers), upstream);
+        let (hosts, rank) = {
+            let peers = lock(&self.peers);
+            let zone = &self.options.host.zone;
+            (peers.sharer_count(now), peers.rank(now, zone, upstream))
+        };
         let share = cold_start::share(limit, hosts, rank);
         share.saturating_sub(lock(&self.cold_starts).recent(now, &upstream.id))
     }
-
-    /// Returns the number of hosts that share an upstream's limits, and the rank of this one
-    /// among them.
-    fn rank(&self, now: Instant, peers: &peers::Table, upstream: &Upstream) -> (usize, usize) {
-        let score = |address: &Ipv4Addr| {
-            let seed = u64::from(u32::from(*address));
-            xxh3_64_with_seed(upstream.id.as_str().as_bytes(), seed)
-        };
-        let own_score = score(&self.address);
-        let is_local = self.options.host.zone == upstream.zone;
-        // Hosts of the upstream's zone rank first, as their prompts stay in the zone.
-        let ahead = peers.sharing_peers(now).filter(|(address, peer)| {
-            match (peer.zone == upstream.zone, is_local) {
-                (true, false) => true,
-                (false, true) => false,
-                _ => score(address) > own_score,
-            }
-        });
-        (peers.sharer_count(now), ahead.count())
-    }
 }
 
 /// What this host may send to an upstream that has named a limit.
