Count a host's rank only as far as hosts get a share

No caller has seen it; found by measuring what the postmortem had only computed.

Cause: the rank among 380 hosts was counted to the end by a hash for each, for each of 4,200 upstreams, and the hosts were counted again for each, though a limit of a few requests a second gives a share to few hosts.

Change: counting ends with the number of hosts that get a share; hosts of the upstream's zone are counted first, which takes no hash from another zone; the hosts are counted once a request. Starts at cold upstreams use the same rank.

A property test compares the ranks that all hosts compute: each has its own, those of the zone come first, and counting less far gives the same up to there. It fails if the second count isn't shortened by the first, and if hosts of the zone are ordered for other zones too.

--- a/benches/share.rs
+++ b/benches/share.rs
@@ -65,10 +65,11 @@
     let local = zone(0).as_str().into();
     for (hosts, upstreams) in SIZES {
         let table = table(now, hosts);
+        let hosts = table.sharer_count(now);
         let upstreams: Vec<Upstream> = (0..upstreams).map(upstream).collect();
         let share = |upstream: &Upstream| {
-            let hosts = table.sharer_count(now);
-            let rank = table.rank(now, &local, upstream);
+            let chosen = limit::chosen_hosts(LIMIT, hosts, false);
+            let rank = table.rank(now, &local, upstream, chosen);
             limit::share(LIMIT, hosts, rank, false)
         };
         group.bench_function(BenchmarkId::from_parameter(hosts), |bencher| {
--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -40,13 +40,19 @@
     if even_share >= MIN_STARTS_PER_SECOND {
         return even_share as usize;
     }
-    let chosen = ((limit * CHOSEN_FRACTION / CHOSEN_STARTS_PER_SECOND) as usize).max(1);
+    let chosen = chosen_hosts(limit);
     match rank < chosen {
         true => ((limit * CHOSEN_FRACTION / chosen as f64) as usize).max(1),
         false => 0,
     }
 }
 
+/// Returns the number of hosts that share a limit which isn't divided evenly: those of a lower
+/// rank.
+pub fn chosen_hosts(limit: f64) -> usize {
+    ((limit * CHOSEN_FRACTION / CHOSEN_STARTS_PER_SECOND) as usize).max(1)
+}
+
 /// Recent starts of this host, by cold upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -28,13 +28,9 @@
 /// rendezvous order, 0 first. A host that `is_settling` may not know most others yet, so its
 /// share doesn't depend on their number.
 pub fn share(limit: f64, hosts: usize, rank: usize, is_settling: bool) -> f64 {
-    let most = (limit + MIN_CHOSEN_HOSTS).floor();
-    let chosen = match is_settling {
-        true => most,
-        false => most.min(hosts.max(1) as f64),
-    };
-    let rate = match (rank as f64) < chosen {
-        true => limit / chosen,
+    let chosen = chosen_hosts(limit, hosts, is_settling);
+    let rate = match rank < chosen {
+        true => limit / chosen as f64,
         false => 0.0,
     };
     match rank {
@@ -43,6 +39,15 @@
     }
 }
 
+/// Returns the number of hosts that share a limit: those of a lower rank.
+pub fn chosen_hosts(limit: f64, hosts: usize, is_settling: bool) -> usize {
+    let most = (limit + MIN_CHOSEN_HOSTS) as usize;
+    match is_settling {
+        true => most,
+        false => most.min(hosts.max(1)),
+    }
+}
+
 /// A host's share of one upstream's limit, and what it has saved up of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bucket {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -318,23 +318,31 @@
     }
 
     /// Returns the rank of this host, which is in `zone`, among the hosts that share an
-    /// upstream's limits, 0 first.
-    pub fn rank(&self, now: Instant, zone: &ident::Zone, upstream: &Upstream) -> usize {
+    /// upstream's limits, 0 first. Counts up to `most`, as few hosts get a share.
+    pub fn rank(
+        &self,
+        now: Instant,
+        zone: &ident::Zone,
+        upstream: &Upstream,
+        most: usize,
+    ) -> usize {
         let score = |address: &Ipv4Addr| {
             let seed = u64::from(u32::from(*address));
             xxh3_64_with_seed(upstream.id.as_str().as_bytes(), seed)
         };
         let own_score = score(&self.local);
-        let is_local = *zone == upstream.zone;
+        let is_near = |peer: &Peer| peer.zone == upstream.zone;
         // Hosts of the upstream's zone rank first, as their prompts stay in the zone.
-        let ahead = self.sharing_peers(now).filter(|(address, peer)| {
-            match (peer.zone == upstream.zone, is_local) {
-                (true, false) => true,
-                (false, true) => false,
-                _ => score(address) > own_score,
-            }
-        });
-        ahead.count()
+        let is_local = *zone == upstream.zone;
+        let near = self.sharing_peers(now).filter(|(_, peer)| is_near(peer));
+        let near = near.filter(|(address, _)| !is_local || score(address) > own_score);
+        let near = near.take(most).count();
+        if is_local || near == most {
+            return near;
+        }
+        let far = self.sharing_peers(now).filter(|(_, peer)| !is_near(peer));
+        let far = far.filter(|(address, _)| score(address) > own_score);
+        near + far.take(most - near).count()
     }
 
     /// Returns the hosts that gossip may be sent to: known hosts and unknown seeds.
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -268,12 +268,13 @@
             return vec![None; upstreams.len()];
         }
         let is_settling = peers.is_settling(now);
+        let hosts = peers.sharer_count(now);
         let zone = &self.options.host.zone;
         let allowances = upstreams.iter().map(|record| {
             let upstream = &record.upstream;
             let bucket = notices.bucket(now, upstream, |limit| {
-                let hosts = peers.sharer_count(now);
-                let rank = peers.rank(now, zone, upstream);
+                let chosen = limit::chosen_hosts(limit, hosts, is_settling);
+                let rank = peers.rank(now, zone, upstream, chosen);
                 limit::share(limit, hosts, rank, is_settling)
             })?;
             Some(Allowance {
@@ -290,7 +291,9 @@
         let (hosts, rank) = {
             let peers = lock(&self.peers);
             let zone = &self.options.host.zone;
-            (peers.sharer_count(now), peers.rank(now, zone, upstream))
+            let chosen = cold_start::chosen_hosts(limit);
+            let rank = peers.rank(now, zone, upstream, chosen);
+            (peers.sharer_count(now), rank)
         };
         let share = cold_start::share(limit, hosts, rank);
         share.saturating_sub(lock(&self.cold_starts).recent(now, &upstream.id))
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -1,10 +1,14 @@
 //! The limit that an upstream names holds for all hosts together, although they don't ask each
 //! other.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use masticmoor::gateway::limit;
 use masticmoor::gateway::limit::Bucket;
+use masticmoor::gateway::peers;
+use masticmoor::gateway::upstream::Upstream;
+use masticmoor::ident;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
@@ -46,6 +50,42 @@
     (counts.max().unwrap_or_default(), rate)
 }
 
+fn upstream() -> Upstream {
+    Upstream {
+        id: "u1".into(),
+        service: "desk".into(),
+        version: "v1".into(),
+        address: ([10, 0, 1, 1], 80).into(),
+        zone: "z1".into(),
+        slots: 8,
+        is_draining: false,
+        cold_left: Duration::ZERO,
+        started_ms: None,
+    }
+}
+
+/// Returns the ranks of hosts in the given zones for an upstream, as each of them computes it.
+fn ranks(zones: &[ident::Zone], upstream: &Upstream, most: usize) -> Vec<usize> {
+    let now = Instant::now();
+    let hosts = zones.iter().zip(1..).map(|(zone, last)| {
+        let address = Ipv4Addr::new(10, 0, 0, last);
+        (address, zone)
+    });
+    let contact = |(address, zone): (Ipv4Addr, &ident::Zone)| peers::Contact {
+        address,
+        zone: zone.clone(),
+        silent_ms: 0,
+    };
+    let rank = |(address, zone): (Ipv4Addr, &ident::Zone)| {
+        let mut table = peers::Table::new(address, Vec::new());
+        for host in hosts.clone() {
+            table.add(now, &contact(host));
+        }
+        table.rank(now, zone, upstream, most)
+    };
+    hosts.clone().map(rank).collect()
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(5),
@@ -63,6 +103,25 @@
         prop_assert!(most as f64 <= allowed(limit), "{most} at {limit} from {hosts}");
         prop_assert!(rate <= limit + 0.15, "{rate} at {limit} from {hosts}");
     }
+
+    #[test]
+    fn hosts_agree_on_their_ranks_and_those_of_the_upstreams_zone_come_first(
+        zones in prop::collection::vec(prop::sample::select(vec!["z1", "z2", "z3"]), 1..40),
+        most in 0_usize..45,
+    ) {
+        let zones: Vec<ident::Zone> = zones.into_iter().map(Into::into).collect();
+        let upstream = upstream();
+        let all = ranks(&zones, &upstream, usize::MAX);
+        let mut sorted = all.clone();
+        sorted.sort_unstable();
+        prop_assert_eq!(sorted, (0..zones.len()).collect::<Vec<_>>());
+        let near = zones.iter().filter(|zone| **zone == upstream.zone).count();
+        for (zone, rank) in zones.iter().zip(&all) {
+            prop_assert_eq!(*zone == upstream.zone, *rank < near);
+        }
+        let limited: Vec<usize> = all.into_iter().map(|rank| rank.min(most)).collect();
+        prop_assert_eq!(ranks(&zones, &upstream, most), limited);
+    }
 }
 
 #[rstest]
