--- a/benches/share.rs
+++ b/benches/share.rs
@@ -1,5 +1,5 @@
-//! The time to compute a host's shares of the limits of all upstreams, in fleets of the present
-//! size and of the largest to support.
+//! The time to compute a host's shares of the limits of all upstreams, and to select the notices
+//! for a message, in fleets of the present size and of the largest to support.
 
 use std::hint::black_box;
 use std::net::Ipv4Addr;
@@ -9,7 +9,9 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
+use masticmoor::gateway::headers::Notice;
 use masticmoor::gateway::limit;
+use masticmoor::gateway::notice;
 use masticmoor::gateway::peers;
 use masticmoor::gateway::upstream::Upstream;
 use tokio::time::Instant;
@@ -79,5 +81,25 @@
     group.finish();
 }
 
-criterion_group!(benches, shares);
+fn reports(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("report");
+    let now = Instant::now();
+    for (hosts, upstreams) in SIZES {
+        let mut table = notice::Table::default();
+        for number in 0..upstreams {
+            let notice = Notice {
+                limit: Some(LIMIT),
+                ..Notice::default()
+            };
+            table.record(now, now, &upstream(number), &notice);
+        }
+        let later = now + Duration::from_secs(3);
+        group.bench_function(BenchmarkId::from_parameter(hosts), |bencher| {
+            bencher.iter(|| black_box(table.reports(later).len()));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, shares, reports);
 criterion_main!(benches);
