Don't wait for the whole timeout when all hosts start together

What callers saw: after all hosts had been restarted at once each refused all keys for half a second (keys-stale).

A host waits for one that has joined, and there is none.

Change: where all hosts that it knows were heard and are starting too, a host waits 200 ms, in which one that has joined is heard if there is any.

--- a/src/gateway/join.rs
+++ b/src/gateway/join.rs
@@ -12,13 +12,19 @@
 /// sends several in that time to the hosts of its zone.
 pub const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which a host waits although all others that it knows are starting too. One that has
+/// joined may not have been heard yet.
+pub const MIN_WAIT: Duration = Duration::from_millis(200);
+
 /// What a host that starts knows of others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Others {
     /// There are none.
     None,
-    /// None of them was heard yet that has joined.
+    /// None of them was heard yet that has joined, and some were not heard at all.
     Silent,
+    /// All of them were heard, and none has joined.
+    Starting,
     /// The latest version of the route table among those that have joined.
     Latest(u64),
 }
@@ -47,11 +53,12 @@
         if version == 0 {
             return Step::Wait;
         }
-        let since = *self.has_table_since.get_or_insert(now);
+        let waited = now.duration_since(*self.has_table_since.get_or_insert(now));
         match others {
-            _ if now.duration_since(since) >= TIMEOUT => Step::Accept,
+            _ if waited >= TIMEOUT => Step::Accept,
             Others::None => Step::Accept,
-            Others::Silent => Step::Wait,
+            Others::Starting if waited >= MIN_WAIT => Step::Accept,
+            Others::Starting | Others::Silent => Step::Wait,
             Others::Latest(latest) if latest > version => Step::Follow,
             Others::Latest(_) => Step::Accept,
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -235,9 +235,15 @@
     pub fn others(&mut self, now: Instant) -> Others {
         let joined = self.live(now).filter(|(_, peer)| peer.has_joined);
         let latest = joined.map(|(_, peer)| peer.progress.table_version).max();
+        let targets = self.targets(now);
+        let is_starting = |address: &Ipv4Addr| {
+            let peer = self.peers.get(address);
+            peer.is_some_and(|peer| peer.last_received.is_some() && !peer.has_joined)
+        };
         match latest {
             Some(latest) => Others::Latest(latest),
-            None if self.targets(now).is_empty() => Others::None,
+            None if targets.is_empty() => Others::None,
+            None if targets.iter().all(|(address, _)| is_starting(address)) => Others::Starting,
             None => Others::Silent,
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -225,7 +225,8 @@
     }
 
     /// Returns whether this host's copy of the store is recent enough to authorize
-    /// requests by their keys, and as late as those of other hosts at its start. Operators bound how long a revoked key may still work.
+    /// requests by their keys, and as late as those of other hosts at its start. Operators
+    /// bound how long a revoked key may still work.
     pub fn has_fresh_keys(&self, now: boot::Instant) -> bool {
         let age = self.store_age(now);
         let is_recent = age.is_some_and(|age| age < self.live_options().key_age());
