Exchange datagrams with hosts of other builds in the formats that they read

Hosts of two builds counted only each other's like: loads, crashes, limits, notices, the versions of streams and the number of hosts were those of a part of the fleet, and each sum that is divided by that number was given out once a part.

What is new is appended as a map of named fields, which builds since format 4 ignore, and an unknown name is ignored too. Formats 6 to 9 are completed with defaults when they are read; a host that sends one of them is sent datagrams without the newer fields. Hosts that have not been heard get all formats in turn while a host starts. What an older build can't name of an upstream is not taken to have ended, and requests are handed only to builds that take them. Hosts of format 5 have no eras and can't copy the store either; they stay unheard.

--- a/benches/share.rs
+++ b/benches/share.rs
@@ -47,6 +47,7 @@
     let mut table = peers::Table::new(address(0), Vec::new());
     for number in 1..hosts {
         let announcement = peers::Announcement {
+            format: masticmoor::gateway::datagram::VERSION,
             zone: zone(number.into()).as_str().into(),
             process: number.into(),
             is_leaving: false,
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -4,6 +4,14 @@
 //! zone to another one; the host that receives it forwards it unchanged to the hosts of
 //! its own zone. [`Origins`] go to few hosts, apart from the rounds of messages. A
 //! datagram is a version byte and a MessagePack value.
+//!
+//! Hosts of different builds run side by side while a fleet is upgraded, so version
+//! [`VERSION`] and its structures stay as they are. What is new is appended to a datagram as
+//! one more MessagePack value, a map whose keys are names: builds ignore what follows the
+//! first value, and names that they don't know. Datagrams of older versions are read and
+//! sent too, see [`format`].
+
+pub mod format;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -22,7 +30,7 @@
 use crate::policy::crash::Crash;
 use crate::policy::quarantine;
 
-/// Version of the format.
+/// Version of the format in which this build sends. Older builds can't read a later one.
 pub const VERSION: u8 = 10;
 
 /// Maximum size of a datagram that is not fragmented.
@@ -129,7 +137,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
     /// The format has another version.
-    #[error("datagram has format version {0}, expected {VERSION}")]
+    #[error("datagram has format version {0}, expected {oldest} to {VERSION}", oldest = format::OLDEST)]
     Version(u8),
     /// The datagram has no content.
     #[error("datagram is empty")]
@@ -137,12 +145,22 @@
     /// The content is not a valid datagram of this version.
     #[error("datagram can't be decoded: {0}")]
     Decode(#[from] rmp_serde::decode::Error),
+    /// The content is not valid MessagePack.
+    #[error("datagram of another format can't be read: {0}")]
+    Read(#[from] rmpv::decode::Error),
+    /// What the sender appends can't be encoded.
+    #[error("datagram can't be extended: {0}")]
+    Encode(#[from] rmp_serde::encode::Error),
+    /// The content can't be encoded in another format.
+    #[error("datagram can't be encoded in another format: {0}")]
+    Write(#[from] rmpv::encode::Error),
 }
 
 impl Sender {
-    /// Returns the sender's entry for the peer table.
-    pub fn announcement(&self) -> peers::Announcement {
+    /// Returns the sender's entry for the peer table, with the format of its datagrams.
+    pub fn announcement(&self, format: u8) -> peers::Announcement {
         peers::Announcement {
+            format,
             zone: self.zone.clone(),
             process: self.process,
             is_leaving: self.is_leaving,
@@ -315,12 +333,52 @@
     Ok(bytes)
 }
 
-/// Decodes a datagram.
-pub fn decode(bytes: &[u8]) -> Result<Datagram, Fault> {
-    match bytes {
-        [VERSION, body @ ..] => Ok(rmp_serde::from_slice(body)?),
-        [version, ..] => Err(Fault::Version(*version)),
-        [] => Err(Fault::Empty),
+/// A datagram as it was received.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Received {
+    /// Its content.
+    pub datagram: Datagram,
+    /// Newest format that its sender reads. One that looks for hosts of any build sends older
+    /// formats too.
+    pub format: u8,
+}
+
+/// Decodes a datagram of this format or of an older one.
+pub fn decode(bytes: &[u8]) -> Result<Received, Fault> {
+    let (version, datagram, rest) = match bytes {
+        [VERSION, body @ ..] => {
+            let mut rest = body;
+            (VERSION, rmp_serde::from_read(&mut rest)?, rest)
+        }
+        [version, body @ ..] if format::is_known(*version) => {
+            let (body, rest) = format::complete(*version, body)?;
+            let mut datagram = rmp_serde::from_slice(&body)?;
+            if !format::has_all_notices(*version) {
+                mark_partial(&mut datagram);
+            }
+            (*version, datagram, rest)
+        }
+        [version, ..] => return Err(Fault::Version(*version)),
+        [] => return Err(Fault::Empty),
+    };
+    let extension = format::Extension::read(rest)?;
+    Ok(Received {
+        datagram,
+        format: version
+            .max(extension.newest.unwrap_or_default())
+            .min(VERSION),
+    })
+}
+
+/// Marks notices from a format that can't name all that an upstream announces.
+fn mark_partial(datagram: &mut Datagram) {
+    let report = match datagram {
+        Datagram::Message(message) => &mut message.report,
+        Datagram::Summary(summary) => &mut summary.report,
+        Datagram::Origins(_) => return,
+    };
+    for notice in &mut report.notices {
+        notice.is_partial = true;
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -25,9 +25,11 @@
 use crate::gateway::datagram::Message;
 use crate::gateway::datagram::Origins;
 use crate::gateway::datagram::Placements;
+use crate::gateway::datagram::Received;
 use crate::gateway::datagram::Report;
 use crate::gateway::datagram::Sender;
 use crate::gateway::datagram::Summary;
+use crate::gateway::datagram::format::Encoded;
 use crate::gateway::health::Scope;
 use crate::gateway::load;
 use crate::gateway::notice;
@@ -150,6 +152,7 @@
         let is_relayed = relay::is_relayed(targets.len());
         (recipients, is_relayed, peers.is_settling(now))
     };
+    let round = relay.round();
     let Recipients {
         direct,
         remote,
@@ -160,15 +163,17 @@
     let placements = lock(&state.prefix_cache).take_updates();
     let recent = relay.record_own(&placements);
     if let Some(bytes) = encode(message(state, now, placements, Selection::Sample)) {
+        let mut encoded = Encoded::new(&bytes);
         for address in direct {
-            send_to(state, socket, address, &bytes).await;
+            send_to(state, socket, address, &mut encoded, round).await;
         }
     }
     if !remote.is_empty()
         && let Some(bytes) = encode(message(state, now, recent, Selection::Sample))
     {
+        let mut encoded = Encoded::new(&bytes);
         for address in remote {
-            send_to(state, socket, address, &bytes).await;
+            send_to(state, socket, address, &mut encoded, round).await;
         }
     }
     for (address, zone) in starting {
@@ -178,13 +183,14 @@
             message.report.loads.clear();
         }
         if let Some(bytes) = encode(message) {
-            send_to(state, socket, address, &bytes).await;
+            send_to(state, socket, address, &mut Encoded::new(&bytes), round).await;
         }
     }
     if !summary.is_empty() {
         for bytes in encode_summary(state, now, relay.take_placements()) {
+            let mut encoded = Encoded::new(&bytes);
             for address in &summary {
-                send_to(state, socket, *address, &bytes).await;
+                send_to(state, socket, *address, &mut encoded, round).await;
             }
         }
     }
@@ -210,7 +216,7 @@
         match origins.encode() {
             Ok(datagrams) => {
                 for bytes in datagrams {
-                    send_to(state, socket, host, &bytes).await;
+                    send_to(state, socket, host, &mut Encoded::new(&bytes), 0).await;
                 }
             }
             Err(error) => warn!(%error, "peers: can't encode the versions of streams"),
@@ -236,13 +242,29 @@
             .filter(|(_, it)| it.zone == *zone);
         hosts.map(|(address, _)| *address).collect()
     };
+    let mut encoded = Encoded::new(bytes);
     for address in hosts {
-        send_to(state, socket, address, bytes).await;
+        send_to(state, socket, address, &mut encoded, 0).await;
     }
 }
 
-async fn send_to(state: &State, socket: &UdpSocket, address: Ipv4Addr, bytes: &[u8]) {
+/// Sends a datagram in the format that a host reads.
+async fn send_to(
+    state: &State,
+    socket: &UdpSocket,
+    address: Ipv4Addr,
+    datagram: &mut Encoded<'_>,
+    round: usize,
+) {
     let to = SocketAddr::new(address.into(), state.options.gateway.gossip_port);
+    let format = lock(&state.peers).format(Instant::now(), &address, round);
+    let bytes = match datagram.in_format(format) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            warn!(%error, %to, format, "peers: can't encode a datagram for another build");
+            return;
+        }
+    };
     // Gossip tolerates loss: a message to a host that is down, or over a full link,
     // isn't sent again.
     if let Err(error) = socket.send_to(bytes, to).await
@@ -368,8 +390,8 @@
     let IpAddr::V4(address) = from.ip() else {
         return false;
     };
-    let datagram = match datagram::decode(bytes) {
-        Ok(datagram) => datagram,
+    let Received { datagram, format } = match datagram::decode(bytes) {
+        Ok(received) => received,
         Err(error) => {
             warn!(%error, %from, "peers: can't decode a datagram");
             return false;
@@ -398,7 +420,12 @@
                 false => {}
             }
             merge_notices(state, &message.report.notices, unread);
-            merge(state, address, &message.sender, source, message.report);
+            let from = Origin {
+                address,
+                format,
+                sender: &message.sender,
+            };
+            merge(state, from, source, message.report);
             false
         }
         Datagram::Origins(origins) => {
@@ -414,27 +441,39 @@
             let is_direct = summary.address == address;
             let source = summary.source();
             merge_notices(state, &summary.report.notices, unread);
-            merge(
-                state,
-                summary.address,
-                &summary.sender,
-                source,
-                summary.report,
-            );
+            let from = Origin {
+                address: summary.address,
+                format,
+                sender: &summary.sender,
+            };
+            merge(state, from, source, summary.report);
             is_direct
         }
     }
 }
 
+/// The host that a report comes from.
+struct Origin<'a> {
+    address: Ipv4Addr,
+    /// Format of its datagram.
+    format: u8,
+    sender: &'a Sender,
+}
+
 /// Merges the report of a host or of a zone into the shared tables.
-fn merge(state: &State, address: Ipv4Addr, sender: &Sender, source: load::Source, report: Report) {
+fn merge(state: &State, from: Origin<'_>, source: load::Source, report: Report) {
+    let Origin {
+        address,
+        format,
+        sender,
+    } = from;
     let now = Instant::now();
     let is_same_zone = sender.zone == state.options.host.zone;
     if sender.progress.is_ahead(&state.progress()) {
         state.store_behind.notify_one();
     }
     let lost = {
-        let announcement = sender.announcement();
+        let announcement = sender.announcement(format);
         let mut peers = lock(&state.peers);
         let lost = peers.newly_unreachable(address, &announcement);
         if peers.receive(now, address, announcement) {
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -61,6 +61,10 @@
     pub rejection_limit: Option<u32>,
     /// Time since a host read it in a response, in milliseconds.
     pub age_ms: u64,
+    /// Whether the build of the reporting host can't name all limits. Those that are missing
+    /// aren't known to have ended.
+    #[serde(skip)]
+    pub is_partial: bool,
 }
 
 /// A time in which an upstream gets no requests of this host.
@@ -167,10 +171,13 @@
         if !is_sound || age >= RETENTION {
             return News::default();
         }
+        let known = self.entries.get(&report.upstream);
+        let known = known.filter(|it| report.is_partial && it.started_ms == report.started_ms);
+        let known = known.map(|it| it.statement).unwrap_or_default();
         let statement = Statement {
             is_leaving: report.is_leaving,
-            limit: report.limit,
-            rejection_limit: report.rejection_limit,
+            limit: report.limit.or(known.limit),
+            rejection_limit: report.rejection_limit.or(known.rejection_limit),
         };
         let read_at = now.checked_sub(age).unwrap_or(now);
         self.insert(now, &report.upstream, report.started_ms, statement, read_at)
@@ -280,6 +287,7 @@
             limit: entry.statement.limit,
             rejection_limit: entry.statement.rejection_limit,
             age_ms: millis(now.duration_since(entry.read_at)),
+            is_partial: false,
         });
         let reports = reports.collect();
         self.offset = self.offset.wrapping_add(MAX_REPEATED);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,6 +13,8 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::gateway::datagram;
+use crate::gateway::datagram::format;
 use crate::gateway::join::Others;
 use crate::gateway::upstream::Upstream;
 use crate::ident;
@@ -47,6 +49,9 @@
 /// of hundreds of hosts that start together, discovery takes about that long.
 const SETTLING_TIME: Duration = Duration::from_secs(6);
 
+/// First format whose hosts take requests from other hosts.
+const HANDOFF_FORMAT: u8 = 10;
+
 /// A host as another host knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contact {
@@ -94,6 +99,8 @@
     pub zone: ident::Zone,
     /// Random identifier of the run of its process, once it sent a message itself.
     pub process: Option<u64>,
+    /// Format of its datagrams, once it sent a message itself.
+    pub format: Option<u8>,
     /// When this host last received a message from it.
     pub last_received: Option<Instant>,
     /// When any host last received a message from it, as far as this host knows.
@@ -122,11 +129,19 @@
         let received = self.last_received?;
         self.age.map(|age| age + now.duration_since(received))
     }
+
+    /// Returns whether requests for a service may be handed to it, as far as this host knows.
+    fn accepts_handoffs(&self, service: &ident::Service) -> bool {
+        let is_able = self.format.is_none_or(|it| it >= HANDOFF_FORMAT);
+        is_able && !self.unreachable.contains(service)
+    }
 }
 
 /// Content of a message about its sender.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
+    /// Format of the message.
+    pub format: u8,
     /// The sender's zone.
     pub zone: ident::Zone,
     /// Random identifier of the run of its process.
@@ -208,6 +223,7 @@
         let peer = Peer {
             zone: message.zone,
             process: Some(message.process),
+            format: Some(message.format),
             last_received: Some(now),
             last_seen: now,
             is_leaving: message.is_leaving,
@@ -235,6 +251,7 @@
         let peer = self.peers.entry(contact.address).or_insert_with(|| Peer {
             zone: contact.zone.clone(),
             process: None,
+            format: None,
             last_received: None,
             last_seen: seen,
             is_leaving: false,
@@ -298,7 +315,7 @@
         except: &[Ipv4Addr],
         draw: f64,
     ) -> Option<Ipv4Addr> {
-        let reaches = |peer: &Peer| !peer.unreachable.contains(service);
+        let reaches = |peer: &Peer| peer.accepts_handoffs(service);
         let local = self.up(now).filter(|(_, peer)| peer.zone == *zone);
         let (sound, cut): (Vec<_>, Vec<_>) = local.partition(|(_, peer)| reaches(peer));
         let is_local = sound.len() > cut.len();
@@ -432,7 +449,7 @@
     /// host knows.
     pub fn can_serve(&self, now: Instant, address: &Ipv4Addr, service: &ident::Service) -> bool {
         let mut hosts = self.up(now);
-        hosts.any(|(it, peer)| it == address && !peer.unreachable.contains(service))
+        hosts.any(|(it, peer)| it == address && peer.accepts_handoffs(service))
     }
 
     /// Returns the rank of this host, which is in `zone`, among the hosts that share an
@@ -463,6 +480,35 @@
         near + far.take(most - near).count()
     }
 
+    /// Returns the format of the datagram that a host is sent in a round, given its number.
+    ///
+    /// A host that was heard lately reads the format in which it sends. Another one may be of any
+    /// build that this host has heard, or of any at all while this one looks for others. Hosts of
+    /// this build read all formats, so that they are found at once.
+    pub fn format(&self, now: Instant, address: &Ipv4Addr, round: usize) -> u8 {
+        let is_heard = |peer: &&Peer| {
+            let received = peer.last_received;
+            received.is_some_and(|at| now.duration_since(at) < LIVE_TIMEOUT)
+        };
+        let heard = self.peers.get(address).filter(is_heard);
+        if let Some(format) = heard.and_then(|peer| peer.format) {
+            return format;
+        }
+        let older: Vec<u8> = match self.is_settling(now) {
+            true => (format::OLDEST..datagram::VERSION).rev().collect(),
+            false => {
+                let known = self.peers.values().filter_map(|peer| peer.format);
+                let known: BTreeSet<u8> = known.filter(|it| *it < datagram::VERSION).collect();
+                known.into_iter().rev().collect()
+            }
+        };
+        let turn = older.get(round / 2 % older.len().max(1));
+        match (round.is_multiple_of(2), turn) {
+            (false, Some(format)) => *format,
+            (true | false, _) => datagram::VERSION,
+        }
+    }
+
     /// Returns the hosts that gossip may be sent to: known hosts and unknown seeds.
     /// Removes hosts that have been silent for too long.
     pub fn targets(&mut self, now: Instant) -> Vec<(Ipv4Addr, Option<ident::Zone>)> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -104,6 +104,11 @@
         std::mem::take(&mut self.placements).into_iter().collect()
     }
 
+    /// Returns the number of the current round.
+    pub fn round(&self) -> usize {
+        self.round
+    }
+
     fn is_summary_due(&self, now: Instant) -> bool {
         let summarized_at = self.summarized_at;
         summarized_at.is_none_or(|at| now.duration_since(at) >= SUMMARY_INTERVAL)
--- a/tests/gateway_bounds.rs
+++ b/tests/gateway_bounds.rs
@@ -113,6 +113,7 @@
 
 fn announcement(fleet_size: Option<usize>) -> peers::Announcement {
     peers::Announcement {
+        format: masticmoor::gateway::datagram::VERSION,
         zone: "z1".into(),
         process: 1,
         is_leaving: false,
--- a/tests/gateway_join.rs
+++ b/tests/gateway_join.rs
@@ -57,6 +57,7 @@
 
 fn announcement(table_version: u64, has_joined: bool) -> Announcement {
     Announcement {
+        format: masticmoor::gateway::datagram::VERSION,
         zone: "z1".into(),
         process: table_version,
         is_leaving: false,
--- a/tests/gateway_notice.rs
+++ b/tests/gateway_notice.rs
@@ -33,6 +33,7 @@
         limit: None,
         rejection_limit: None,
         age_ms,
+        is_partial: false,
     }
 }
 
--- a/tests/gateway_origin.rs
+++ b/tests/gateway_origin.rs
@@ -126,7 +126,7 @@
     let mut decoded = Vec::new();
     for bytes in origins.encode().unwrap() {
         assert!(bytes.len() <= DATAGRAM_BYTES);
-        match datagram::decode(&bytes).unwrap() {
+        match datagram::decode(&bytes).unwrap().datagram {
             Datagram::Origins(part) => decoded.extend(part.streams),
             other => panic!("{other:?}"),
         }
@@ -196,6 +196,7 @@
     let address = |last| Ipv4Addr::new(10, 0, 0, last);
     let mut table = peers::Table::new(address(1), Vec::new());
     let announcement = |is_leaving| Announcement {
+        format: masticmoor::gateway::datagram::VERSION,
         zone: "z1".into(),
         process: 1,
         is_leaving,
--- a/tests/gateway_path/limits.rs
+++ b/tests/gateway_path/limits.rs
@@ -146,6 +146,7 @@
                 limit: Some(LIMIT),
                 rejection_limit: None,
                 age_ms: 0,
+                is_partial: false,
             }],
             ..Report::default()
         },
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -44,6 +44,7 @@
 
 fn announcement(number: u8, process: u64) -> peers::Announcement {
     peers::Announcement {
+        format: masticmoor::gateway::datagram::VERSION,
         zone: zone(number),
         process,
         is_leaving: false,
@@ -360,7 +361,7 @@
     let mut suspects = 0;
     for bytes in &datagrams {
         assert!(bytes.len() <= datagram::DATAGRAM_BYTES, "{}", bytes.len());
-        let Datagram::Summary(shard) = datagram::decode(bytes).unwrap() else {
+        let Datagram::Summary(shard) = datagram::decode(bytes).unwrap().datagram else {
             panic!("no summary");
         };
         loads.extend(shard.report.loads);
@@ -376,9 +377,11 @@
 #[test]
 fn a_datagram_of_another_version_is_distinguished_from_a_corrupt_one() {
     let bytes = summary(1, "i").encode().unwrap().remove(0);
-    let other: Vec<u8> = [&[7], &bytes[1..]].concat();
-    let version = datagram::decode(&other);
-    assert!(matches!(version, Err(datagram::Fault::Version(7))));
+    for unknown in [5, 11] {
+        let other: Vec<u8> = [&[unknown], &bytes[1..]].concat();
+        let version = datagram::decode(&other);
+        assert!(matches!(version, Err(datagram::Fault::Version(it)) if it == unknown));
+    }
     let empty = datagram::decode(&[]);
     assert!(matches!(empty, Err(datagram::Fault::Empty)));
     let truncated = datagram::decode(&bytes[..bytes.len() / 2]);
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -299,6 +299,7 @@
 
 fn announcement(process: u64) -> peers::Announcement {
     peers::Announcement {
+        format: masticmoor::gateway::datagram::VERSION,
         zone: "z1".into(),
         process,
         is_leaving: false,
@@ -346,6 +347,7 @@
     let mut table = peers::Table::new(address(1), Vec::new());
     for (last, zone, revision, age_ms) in others {
         let announced = peers::Announcement {
+            format: masticmoor::gateway::datagram::VERSION,
             zone: (*zone).into(),
             progress: progress(*revision, 1),
             age: Some(Duration::from_millis(*age_ms)),
@@ -388,6 +390,7 @@
     let now = Instant::now();
     let mut table = peers::Table::new(address(1), Vec::new());
     let informed = |zone: &str, is_informed| peers::Announcement {
+        format: masticmoor::gateway::datagram::VERSION,
         zone: zone.into(),
         is_informed,
         ..announcement(1)
