Report all crashes to other hosts in turn, those that changed first

Cause: a message holds 8 crashes and 5 prompt segments, always the first of one order: the most crashes, then the newest. A request with three crashes takes three of the 8 places, so only the first two such requests were ever reported. A host that is replaced learned those alone, and once all hosts were replaced the others were forgotten. One crash here and one there never added up while hundreds of other requests had been lost once.

Change: a table of what is reported orders its items by policy::report: changes until they were reported four times, at most for 3 s, then all items by when they were last reported, half of them urgent ones. Crashes of one request stay together. Homes report in the same way.

The test of a very large fleet records what was reported, as hosts do.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -202,23 +202,33 @@
         .filter(|sum| sum.upstreams > 0)
         .collect();
     drop(scheduler);
-    let crashes = lock(&state.crashes)
-        .crashes(now)
+    let crashes = {
+        let mut table = lock(&state.crashes);
+        let crashes = table.reports(now, MAX_CRASH_REPORTS);
+        table.record_reported(now, crashes.iter().map(|it| it.fingerprint));
+        crashes
+    };
+    let crashes = crashes
         .into_iter()
         .filter(|crash| crash.left_ms == 0 || crash.left_ms >= MILLIS_PER_SECOND)
-        .take(MAX_CRASH_REPORTS)
         .map(|crash| load::Crash {
             fingerprint: crash.fingerprint,
             upstream: load::upstream_key(&crash.upstream),
             left_s: u16::try_from(crash.left_ms / MILLIS_PER_SECOND).unwrap_or(u16::MAX),
         })
         .collect();
+    let segments = {
+        let mut quarantine = lock(&state.quarantine);
+        let segments = quarantine.reports(now, MAX_SEGMENT_REPORTS);
+        quarantine.record_reported(now, &segments);
+        segments
+    };
     Report {
         config,
         pools,
         upstreams,
         crashes,
-        segments: lock(&state.quarantine).reports(now, MAX_SEGMENT_REPORTS),
+        segments,
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -204,7 +204,7 @@
         record_observation(state, &record.upstream.id, observation);
     }
     if parts.status.is_success() {
-        lock(&state.crashes).clear(job.fingerprint);
+        lock(&state.crashes).clear(now, job.fingerprint);
         crash::record_answer(state, job);
     }
     Ok((parts, body))
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -321,10 +321,19 @@
     };
     let suspects = suspects(state, now, Scope::Host);
     let loads = lock(&state.loads).own_counts().clone();
-    let mut crashes = lock(&state.crashes).crashes(now);
-    crashes.truncate(MAX_CRASHES);
+    let crashes = {
+        let mut table = lock(&state.crashes);
+        let crashes = table.reports(now, MAX_CRASHES);
+        table.record_reported(now, crashes.iter().map(|it| it.fingerprint));
+        crashes
+    };
     let notices = lock(&state.notices).reports(now);
-    let segments = lock(&state.quarantine).reports(now, MAX_SEGMENTS);
+    let segments = {
+        let mut quarantine = lock(&state.quarantine);
+        let segments = quarantine.reports(now, MAX_SEGMENTS);
+        quarantine.record_reported(now, &segments);
+        segments
+    };
     Message {
         sender,
         is_settling,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -294,7 +294,7 @@
         if exchange.lease.is_some() {
             lock(&self.state.health).record(now, id, Observation::Answered);
         }
-        lock(&self.state.crashes).clear(self.job.fingerprint);
+        lock(&self.state.crashes).clear(now, self.job.fingerprint);
         crash::record_answer(&self.state, &self.job);
         self.state.pool.release(now, exchange.connection);
         self.state.meter.streamed(
--- a/src/home/run.rs
+++ b/src/home/run.rs
@@ -89,7 +89,7 @@
                 lease.release();
             }
             slot.set_end(admission::End::Answered { first_byte });
-            lock(&state.crashes).clear(run.call.fingerprint);
+            lock(&state.crashes).clear(Instant::now(), run.call.fingerprint);
             lock(&state.quarantine).record_answer(Instant::now(), &segments);
         }
         Err(refusal) => {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,6 +11,7 @@
 //! - [`quota`]: rate limit on tokens requested in advance
 //! - [`rank`]: rendezvous hashing of chats to upstreams and of upstreams to homes
 //! - [`recent`]: chats that an upstream answered recently
+//! - [`report`]: the order in which a host tells others what it knows
 //! - [`retry`]: retry budget
 
 pub mod choose;
@@ -23,4 +24,5 @@
 pub mod ramp;
 pub mod rank;
 pub mod recent;
+pub mod report;
 pub mod retry;
--- a/src/policy/crash.rs
+++ b/src/policy/crash.rs
@@ -1,7 +1,6 @@
 //! Requests that crash upstreams: after several upstreams were lost while
 //! running a request, the request is refused for a while.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -9,6 +8,8 @@
 use tokio::time::Instant;
 
 use crate::ident;
+use crate::log::millis;
+use crate::policy::report;
 
 /// The limits on crashes: when they lead to a refusal, and how long and for how
 /// many requests they are kept.
@@ -58,6 +59,21 @@
     cleared: bool,
     upstreams: BTreeSet<ident::Upstream>,
     until: Instant,
+    turn: report::Turn,
+}
+
+impl Entry {
+    fn crashes(&self, now: Instant, fingerprint: u64) -> impl Iterator<Item = Crash> {
+        let left = match self.cleared {
+            true => Duration::ZERO,
+            false => self.until.duration_since(now),
+        };
+        self.upstreams.iter().map(move |upstream| Crash {
+            fingerprint,
+            upstream: upstream.clone(),
+            left_ms: millis(left),
+        })
+    }
 }
 
 impl Table {
@@ -72,7 +88,7 @@
 
     /// Records that an upstream was lost while it ran the request.
     pub fn record(&mut self, now: Instant, fingerprint: u64, upstream: &ident::Upstream) {
-        self.add(now + self.limits.retention, fingerprint, upstream);
+        self.add(now, self.limits.retention, fingerprint, upstream);
         self.expire(now);
     }
 
@@ -80,10 +96,10 @@
     /// crash with no time left means that the request was answered since.
     pub fn merge(&mut self, now: Instant, crash: &Crash) {
         if crash.left_ms == 0 {
-            return self.clear(crash.fingerprint);
+            return self.clear(now, crash.fingerprint);
         }
         let left = Duration::from_millis(crash.left_ms).min(self.limits.retention);
-        self.add(now + left, crash.fingerprint, &crash.upstream);
+        self.add(now, left, crash.fingerprint, &crash.upstream);
         self.expire(now);
     }
 
@@ -104,34 +120,41 @@
 
     /// Clears the crashes of a request that was answered: its upstreams were
     /// lost for another reason.
-    pub fn clear(&mut self, fingerprint: u64) {
-        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+    pub fn clear(&mut self, now: Instant, fingerprint: u64) {
+        if let Some(entry) = self.entries.get_mut(&fingerprint)
+            && !entry.cleared
+        {
             entry.cleared = true;
+            entry.turn.record_change(now);
         }
     }
 
-    /// Returns the crashes to report to peers: first those of the requests that
-    /// crashed the most upstreams, and among these the newest. Crashes of
-    /// requests that were answered since come last, with no time left.
-    pub fn crashes(&self, now: Instant) -> Vec<Crash> {
+    /// Returns crashes to report to peers: `max` or slightly more, as a request's crashes are
+    /// reported together. Those of requests that were answered since have no time left.
+    pub fn reports(&self, now: Instant, max: usize) -> Vec<Crash> {
         let live = self.entries.iter().filter(|(_, entry)| entry.until > now);
-        let mut live: Vec<_> = live.collect();
-        live.sort_by_key(|(_, entry)| {
-            let upstreams = entry.upstreams.len();
-            (entry.cleared, Reverse(upstreams), Reverse(entry.until))
-        });
-        let crashes = live.into_iter().flat_map(|(fingerprint, entry)| {
-            let left = match entry.cleared {
-                true => Duration::ZERO,
-                false => entry.until - now,
-            };
-            entry.upstreams.iter().map(move |upstream| Crash {
-                fingerprint: *fingerprint,
-                upstream: upstream.clone(),
-                left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            })
+        let items = live.map(|item| report::Item {
+            content: item,
+            turn: item.1.turn,
+            is_urgent: !item.1.cleared && item.1.upstreams.len() > 1,
         });
-        crashes.collect()
+        let mut crashes = Vec::new();
+        for (fingerprint, entry) in report::in_order(now, items) {
+            if crashes.len() >= max {
+                break;
+            }
+            crashes.extend(entry.crashes(now, *fingerprint));
+        }
+        crashes
+    }
+
+    /// Records that crashes were reported to peers.
+    pub fn record_reported(&mut self, now: Instant, fingerprints: impl Iterator<Item = u64>) {
+        for fingerprint in fingerprints.collect::<BTreeSet<_>>() {
+            if let Some(entry) = self.entries.get_mut(&fingerprint) {
+                entry.turn.record_report(now);
+            }
+        }
     }
 
     /// Returns the number of requests with crashes.
@@ -144,17 +167,20 @@
         self.entries.is_empty()
     }
 
-    fn add(&mut self, until: Instant, fingerprint: u64, upstream: &ident::Upstream) {
+    fn add(&mut self, now: Instant, left: Duration, fingerprint: u64, upstream: &ident::Upstream) {
+        let until = now + left;
         let entry = self.entries.entry(fingerprint).or_insert_with(|| Entry {
             cleared: false,
             upstreams: BTreeSet::new(),
             until,
+            turn: report::Turn::new(now),
         });
         self.expiries.remove(&(entry.until, fingerprint));
         entry.until = entry.until.max(until);
         self.expiries.insert((entry.until, fingerprint));
-        if entry.upstreams.len() < self.limits.upstreams {
-            entry.upstreams.insert(upstream.clone());
+        if entry.upstreams.len() < self.limits.upstreams && entry.upstreams.insert(upstream.clone())
+        {
+            entry.turn.record_change(now);
         }
     }
 
--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -14,6 +14,7 @@
 
 use crate::ident;
 use crate::log::millis;
+use crate::policy::report;
 
 /// Maximum time between two reports of the same crash, by different hosts or requests.
 const SAME_CRASH: Duration = Duration::from_secs(2);
@@ -24,7 +25,7 @@
 /// Crashes of a segment in a report to other hosts.
 const MAX_REPORTED_CRASHES: usize = 6;
 
-/// How long a change of a segment is reported before those that changed earlier.
+/// How long a segment is reported that has no crashes any more.
 const NEWS_LIFETIME: Duration = Duration::from_secs(3);
 
 /// The limits on crashes and on the memory for them.
@@ -140,6 +141,7 @@
     /// When this host last let a request through on probation.
     tried_at: Option<Instant>,
     changed_at: Instant,
+    turn: report::Turn,
 }
 
 impl Table {
@@ -300,21 +302,19 @@
         suspects.next().is_some()
     }
 
-    /// Returns reports for other hosts, at most `max`: first of segments that changed
-    /// lately, and among these of those with the most crashes.
+    /// Returns reports for other hosts, at most `max`.
     pub fn reports(&self, now: Instant, max: usize) -> Vec<Report> {
         let is_news = |suspect: &Suspect| now.duration_since(suspect.changed_at) < NEWS_LIFETIME;
-        let mut suspects: Vec<_> = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| !suspect.crashes.is_empty() || is_news(suspect))
-            .collect();
-        suspects.sort_by_key(|(_, suspect)| {
-            let key = (is_news(suspect), suspect.crashes.len(), suspect.changed_at);
-            std::cmp::Reverse(key)
+        let suspects = self.suspects.iter();
+        let suspects = suspects.filter(|(_, it)| !it.crashes.is_empty() || is_news(it));
+        let items = suspects.map(|item| report::Item {
+            content: item,
+            turn: item.1.turn,
+            is_urgent: item.1.crashes.len() > 1,
         });
+        let suspects = report::in_order(now, items);
         let age_ms = |at: Instant| millis(now.duration_since(at));
-        let reports = suspects.into_iter().take(max).map(|(segment, suspect)| {
+        let reports = suspects.take(max).map(|(segment, suspect)| {
             let latest = suspect.crashes.iter().rev().take(MAX_REPORTED_CRASHES);
             let crashes = latest.map(|crash| Crash {
                 upstream: crash.upstream.clone(),
@@ -331,6 +331,15 @@
         reports.collect()
     }
 
+    /// Records that segments were reported to other hosts.
+    pub fn record_reported(&mut self, now: Instant, reports: &[Report]) {
+        for report in reports {
+            if let Some(suspect) = self.suspects.get_mut(&report.segment) {
+                suspect.turn.record_report(now);
+            }
+        }
+    }
+
     /// Returns the number of segments with crashes and of those with a recent response.
     pub fn len(&self) -> (usize, usize) {
         (self.suspects.len(), self.answers.len())
@@ -359,11 +368,13 @@
             answered_at: None,
             tried_at: None,
             changed_at: now,
+            turn: report::Turn::new(now),
         });
         self.order.remove(&suspect.order_key(segment));
         let has_changed = change(suspect);
         if has_changed {
             suspect.changed_at = now;
+            suspect.turn.record_change(now);
         }
         self.order.insert(suspect.order_key(segment));
         has_changed
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -259,7 +259,11 @@
     spread(
         &mut fleet,
         &mut tables,
-        |table, now| table.reports(now, 5),
+        |table, now| {
+            let reports = table.reports(now, 5);
+            table.record_reported(now, &reports);
+            reports
+        },
         |table, now, report| table.merge(now, report),
         |table| table.contains(&[666]),
     )
--- a/tests/policy_overload.rs
+++ b/tests/policy_overload.rs
@@ -55,10 +55,10 @@
     remote.record(now, 7, &"b".into());
     let half = now + limits.retention / 2;
     for _ in 0..3 {
-        for crash in local.crashes(half) {
+        for crash in local.reports(half, usize::MAX) {
             remote.merge(half, &crash);
         }
-        for crash in remote.crashes(half) {
+        for crash in remote.reports(half, usize::MAX) {
             local.merge(half, &crash);
         }
     }
@@ -79,10 +79,10 @@
         table.record(now, 9, &"b".into());
         table.record(now, 9, &"a".into());
     }
-    assert_eq!(local.crashes(now)[0].fingerprint, 9);
+    assert_eq!(local.reports(now, usize::MAX)[0].fingerprint, 9);
     assert!(remote.is_suspect(now, 7));
-    local.clear(7);
-    for crash in local.crashes(now) {
+    local.clear(now, 7);
+    for crash in local.reports(now, usize::MAX) {
         remote.merge(now, &crash);
     }
     remote.record(now, 7, &"b".into());
