Keep loads in a full message, and share its room among the other lists

Cause: a message dropped contacts, crashes, notices, placements, segments and loads, in this order, to make room for suspects, which were never shortened. A report of loads replaces the one before, so a load that is left out counts as ended.

Change: the largest list is shortened first, loads last. Suspects begin with others in each round. What had no room is counted (masticmoor_gossip_left_out_total by list), and datagrams that can't be read (masticmoor_gossip_unreadable_total by reason). Only crashes that were in the message count as reported.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -19,6 +19,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use strum::VariantArray;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::load;
@@ -134,7 +135,8 @@
 }
 
 /// Reason why a datagram could not be decoded.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, strum::IntoStaticStr, thiserror::Error)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Fault {
     /// The format has another version.
     #[error("datagram has format version {0}, expected {oldest} to {VERSION}", oldest = format::OLDEST)]
@@ -175,30 +177,96 @@
     }
 }
 
+/// A list of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr, strum::VariantArray)]
+#[strum(serialize_all = "kebab-case")]
+pub enum List {
+    /// [`Report::loads`].
+    Loads,
+    /// [`Report::suspects`].
+    Suspects,
+    /// [`Report::crashes`].
+    Crashes,
+    /// [`Report::segments`].
+    Segments,
+    /// [`Report::notices`].
+    Notices,
+    /// [`Report::placements`].
+    Placements,
+    /// [`Report::contacts`].
+    Contacts,
+}
+
 impl Report {
-    /// Removes one item that a later datagram repeats. Returns `false` if none is left.
-    fn shorten(&mut self) -> bool {
-        self.contacts.pop().is_some()
-            || self.crashes.pop().is_some()
-            || self.notices.pop().is_some()
+    /// Returns the number of items of a list.
+    pub fn len(&self, list: List) -> usize {
+        match list {
+            List::Loads => self.loads.len(),
+            List::Suspects => self.suspects.len(),
+            List::Crashes => self.crashes.len(),
+            List::Segments => self.segments.len(),
+            List::Notices => self.notices.len(),
+            List::Placements => self.placements.len(),
+            List::Contacts => self.contacts.len(),
+        }
+    }
+
+    /// Returns the encoded size of a list.
+    fn size(&self, list: List) -> Result<usize, rmp_serde::encode::Error> {
+        let bytes = match list {
+            List::Loads => rmp_serde::to_vec(&self.loads),
+            List::Suspects => rmp_serde::to_vec(&self.suspects),
+            List::Crashes => rmp_serde::to_vec(&self.crashes),
+            List::Segments => rmp_serde::to_vec(&self.segments),
+            List::Notices => rmp_serde::to_vec(&self.notices),
+            List::Placements => rmp_serde::to_vec(&self.placements),
+            List::Contacts => rmp_serde::to_vec(&self.contacts),
+        };
+        Ok(bytes?.len())
+    }
+
+    fn truncate(&mut self, list: List, length: usize) {
+        match list {
+            List::Loads => self.loads.truncate(length),
+            List::Suspects => self.suspects.truncate(length),
+            List::Crashes => self.crashes.truncate(length),
+            List::Segments => self.segments.truncate(length),
+            List::Notices => self.notices.truncate(length),
+            List::Placements => self.placements.truncate(length),
+            List::Contacts => self.contacts.truncate(length),
+        }
+    }
+
+    /// Shortens the largest list, so that none is crowded out. Loads go last: a report of loads
+    /// replaces the one before, and a load that is left out counts as ended. Returns `false` if
+    /// there is nothing left to remove.
+    fn shorten(&mut self, may_cut_loads: bool) -> Result<bool, rmp_serde::encode::Error> {
+        let mut largest = None;
+        for list in List::VARIANTS {
+            if *list != List::Loads && self.len(*list) > 0 {
+                largest = largest.max(Some((self.size(*list)?, *list as usize)));
+            }
+        }
+        let list = largest.and_then(|(_, index)| List::VARIANTS.get(index));
+        let list = match list {
+            Some(list) => *list,
+            None if may_cut_loads && !self.loads.is_empty() => List::Loads,
+            None => return Ok(false),
+        };
+        let length = self.len(list);
+        self.truncate(list, length - length.div_ceil(8));
+        Ok(true)
     }
 }
 
 impl Message {
-    /// Encodes a message. Drops items until it fits a datagram, loads last, since they
+    /// Encodes a message. Removes items until it fits a datagram, loads last, since they
     /// matter most.
-    pub fn encode(self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-        let mut message = self;
+    pub fn encode(&mut self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
         loop {
-            let bytes = encode(&Datagram::Message(message.clone()))?;
-            let report = &mut message.report;
-            match bytes.len() <= DATAGRAM_BYTES {
-                true => return Ok(bytes),
-                false if report.shorten() => {}
-                false if report.placements.pop().is_some() => {}
-                false if report.segments.pop().is_some() => {}
-                false if report.loads.pop().is_some() => {}
-                false => return Ok(bytes),
+            let bytes = encode(&Datagram::Message(self.clone()))?;
+            if bytes.len() <= DATAGRAM_BYTES || !self.report.shorten(true)? {
+                return Ok(bytes);
             }
         }
     }
@@ -230,34 +298,43 @@
         load::Source::Zone(zone, self.shard.0, self.shard.1)
     }
 
-    /// Encodes a summary as shards that each fit a datagram.
+    /// Encodes a summary as shards that each fit a datagram. Removes items that don't fit the
+    /// first one.
     ///
     /// The number of shards is a power of two, so that an upstream stays in the same
     /// shard unless the number of upstreams in use changes much.
-    pub fn encode(mut self) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
+    pub fn encode(&mut self) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
         let placements = std::mem::take(&mut self.report.placements);
         let shards = self.report.loads.len().div_ceil(UPSTREAMS_PER_SHARD);
         let mut shards = u32::try_from(shards.max(1).next_power_of_two()).unwrap_or(u32::MAX);
         let max_shards = u32::try_from(self.report.loads.len()).unwrap_or(u32::MAX);
         let mut datagrams = loop {
-            let datagrams = self.encode_loads(shards)?;
+            let (datagrams, report) = self.encode_loads(shards)?;
             let fits = datagrams.iter().all(|bytes| bytes.len() <= DATAGRAM_BYTES);
             // Upstreams with long names need more shards.
             match fits || shards > max_shards {
-                true => break datagrams,
+                true => {
+                    self.report = report;
+                    break datagrams;
+                }
                 false => shards = shards.saturating_mul(2),
             }
         };
         let rest = Self {
             shard: (shards, shards),
             report: Report::default(),
-            ..self
+            ..self.clone()
         };
         rest.encode_placements(&placements, &mut datagrams)?;
         Ok(datagrams)
     }
 
-    fn encode_loads(&self, shards: u32) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
+    /// Returns the datagrams of all shards, and what is left of the report's other items.
+    fn encode_loads(
+        &self,
+        shards: u32,
+    ) -> Result<(Vec<Vec<u8>>, Report), rmp_serde::encode::Error> {
+        let mut left = Report::default();
         let mut loads: BTreeMap<u64, Vec<_>> = BTreeMap::new();
         for (upstream, count) in &self.report.loads {
             let shard = xxh3_64(upstream.as_str().as_bytes()) % u64::from(shards);
@@ -283,9 +360,17 @@
                 sender: self.sender.clone(),
                 address: self.address,
             };
-            summary.encode_shard()
+            let bytes = summary.encode_shard();
+            if shard == 0 {
+                left = Report {
+                    loads: self.report.loads.clone(),
+                    ..summary.report
+                };
+            }
+            bytes
         });
-        datagrams.collect()
+        let datagrams: Result<_, _> = datagrams.collect();
+        Ok((datagrams?, left))
     }
 
     /// Appends datagrams with placements, halving the list until each half fits.
@@ -312,16 +397,12 @@
         }
     }
 
-    /// Encodes one shard. Drops items other than loads until it fits a datagram.
+    /// Encodes one shard. Removes items other than loads until it fits a datagram.
     fn encode_shard(&mut self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
         loop {
             let bytes = encode(&Datagram::Summary(self.clone()))?;
-            match bytes.len() <= DATAGRAM_BYTES {
-                true => return Ok(bytes),
-                false if self.report.shorten() => {}
-                false if self.report.segments.pop().is_some() => {}
-                false if self.report.suspects.pop().is_some() => {}
-                false => return Ok(bytes),
+            if bytes.len() <= DATAGRAM_BYTES || !self.report.shorten(false)? {
+                return Ok(bytes);
             }
         }
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use strum::VariantArray;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use tracing::info;
@@ -22,6 +23,7 @@
 use crate::boot;
 use crate::gateway::datagram;
 use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::List;
 use crate::gateway::datagram::Message;
 use crate::gateway::datagram::Origins;
 use crate::gateway::datagram::Placements;
@@ -50,6 +52,9 @@
 /// Maximum number of prompt segments with crashes in a message.
 const MAX_SEGMENTS: usize = 5;
 
+/// Number of suspects by which each message begins later than the one before.
+const SUSPECTS_STEP: usize = 8;
+
 /// Maximum rate of datagrams that a host sends. Rounds are less frequent in larger
 /// fleets.
 const DATAGRAMS_PER_SECOND: f64 = 60.0;
@@ -162,14 +167,19 @@
     let count = direct.len() + remote.len() + starting.len() + summary.len();
     let placements = lock(&state.prefix_cache).take_updates();
     let recent = relay.record_own(&placements);
-    if let Some(bytes) = encode(message(state, now, placements, Selection::Sample)) {
+    let mut full = message(state, now, round, placements, Selection::Sample);
+    if let Some(bytes) = encode(state, now, &mut full) {
         let mut encoded = Encoded::new(&bytes);
         for address in direct {
             send_to(state, socket, address, &mut encoded, round).await;
         }
     }
     if !remote.is_empty()
-        && let Some(bytes) = encode(message(state, now, recent, Selection::Sample))
+        && let Some(bytes) = encode(
+            state,
+            now,
+            &mut message(state, now, round, recent, Selection::Sample),
+        )
     {
         let mut encoded = Encoded::new(&bytes);
         for address in remote {
@@ -177,17 +187,17 @@
         }
     }
     for (address, zone) in starting {
-        let mut message = message(state, now, Vec::new(), Selection::Zone(&zone));
+        let mut message = message(state, now, round, Vec::new(), Selection::Zone(&zone));
         if !is_settling {
             // The zone's summary already contains the loads.
             message.report.loads.clear();
         }
-        if let Some(bytes) = encode(message) {
+        if let Some(bytes) = encode(state, now, &mut message) {
             send_to(state, socket, address, &mut Encoded::new(&bytes), round).await;
         }
     }
     if !summary.is_empty() {
-        for bytes in encode_summary(state, now, relay.take_placements()) {
+        for bytes in encode_summary(state, now, round, relay.take_placements()) {
             let mut encoded = Encoded::new(&bytes);
             for address in &summary {
                 send_to(state, socket, *address, &mut encoded, round).await;
@@ -274,9 +284,14 @@
     }
 }
 
-fn encode(message: Message) -> Option<Vec<u8>> {
+/// Encodes a message, and records what it reports.
+fn encode(state: &State, now: Instant, message: &mut Message) -> Option<Vec<u8>> {
+    let full = lengths(&message.report);
     match message.encode() {
-        Ok(bytes) => Some(bytes),
+        Ok(bytes) => {
+            record_reported(state, now, &full, &message.report);
+            Some(bytes)
+        }
         Err(error) => {
             warn!(%error, "peers: can't encode a message");
             None
@@ -284,6 +299,26 @@
     }
 }
 
+/// Returns the number of items of each list of a report.
+fn lengths(report: &Report) -> Vec<(List, usize)> {
+    let lists = List::VARIANTS.iter();
+    lists.map(|list| (*list, report.len(*list))).collect()
+}
+
+/// Records which crashes were reported, so that the others come next, and counts what had no room
+/// in a message.
+fn record_reported(state: &State, now: Instant, full: &[(List, usize)], report: &Report) {
+    for (list, length) in full {
+        let left_out = length.saturating_sub(report.len(*list));
+        if left_out > 0 {
+            state.meter.left_out((*list).into(), left_out);
+        }
+    }
+    let fingerprints = report.crashes.iter().map(|crash| crash.fingerprint);
+    lock(&state.crashes).record_reported(now, fingerprints);
+    lock(&state.quarantine).record_reported(now, &report.segments);
+}
+
 fn local_host(state: &State) -> LocalHost<'_> {
     LocalHost {
         address: state.address,
@@ -311,6 +346,7 @@
 fn message(
     state: &State,
     now: Instant,
+    round: usize,
     placements: Placements,
     contacts: Selection<'_>,
 ) -> Message {
@@ -319,21 +355,11 @@
         let mut peers = lock(&state.peers);
         (peers.contacts(now, contacts), peers.is_settling(now))
     };
-    let suspects = suspects(state, now, Scope::Host);
+    let suspects = suspects(state, now, round, Scope::Host);
     let loads = lock(&state.loads).own_counts().clone();
-    let crashes = {
-        let mut table = lock(&state.crashes);
-        let crashes = table.reports(now, MAX_CRASHES);
-        table.record_reported(now, crashes.iter().map(|it| it.fingerprint));
-        crashes
-    };
+    let crashes = lock(&state.crashes).reports(now, MAX_CRASHES);
     let notices = lock(&state.notices).reports(now);
-    let segments = {
-        let mut quarantine = lock(&state.quarantine);
-        let segments = quarantine.reports(now, MAX_SEGMENTS);
-        quarantine.record_reported(now, &segments);
-        segments
-    };
+    let segments = lock(&state.quarantine).reports(now, MAX_SEGMENTS);
     Message {
         sender,
         is_settling,
@@ -350,8 +376,16 @@
 }
 
 /// Returns the suspect upstreams to report. What may be this host's own failure isn't reported.
-fn suspects(state: &State, now: Instant, scope: Scope) -> Vec<(ident::Upstream, Duration, bool)> {
+/// Each round begins with others, since a message may not have room for all.
+fn suspects(
+    state: &State,
+    now: Instant,
+    round: usize,
+    scope: Scope,
+) -> Vec<(ident::Upstream, Duration, bool)> {
     let mut suspects = lock(&state.health).suspects(now, scope);
+    let skip = round.wrapping_mul(SUSPECTS_STEP) % suspects.len().max(1);
+    suspects.rotate_left(skip);
     let view = state.view();
     let reach = lock(&state.reach);
     if reach.is_empty() {
@@ -365,10 +399,16 @@
 }
 
 /// Returns the datagrams that summarize this zone for another one.
-fn encode_summary(state: &State, now: Instant, placements: Placements) -> Vec<Vec<u8>> {
-    let Message { sender, report, .. } = message(state, now, placements, Selection::LargeSample);
-    let suspects = suspects(state, now, Scope::Zone);
-    let summary = Summary {
+fn encode_summary(
+    state: &State,
+    now: Instant,
+    round: usize,
+    placements: Placements,
+) -> Vec<Vec<u8>> {
+    let Message { sender, report, .. } =
+        message(state, now, round, placements, Selection::LargeSample);
+    let suspects = suspects(state, now, round, Scope::Zone);
+    let mut summary = Summary {
         sender,
         address: state.address,
         shard: (0, 1),
@@ -378,8 +418,15 @@
             ..report
         },
     };
+    let full = lengths(&Report {
+        placements: Vec::new(),
+        ..summary.report.clone()
+    });
     match summary.encode() {
-        Ok(datagrams) => datagrams,
+        Ok(datagrams) => {
+            record_reported(state, now, &full, &summary.report);
+            datagrams
+        }
         Err(error) => {
             warn!(%error, "peers: can't encode a summary");
             Vec::new()
@@ -403,6 +450,7 @@
         Ok(received) => received,
         Err(error) => {
             warn!(%error, %from, "peers: can't decode a datagram");
+            state.meter.unreadable((&error).into());
             return false;
         }
     };
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -58,6 +58,8 @@
     notices: Family<ByCode, Counter>,
     reach: Family<ByCode, Counter>,
     handoffs: Family<ByCode, Counter>,
+    left_out: Family<ByCode, Counter>,
+    unreadable: Family<ByCode, Counter>,
     upstreams: Gauge,
     hosts: Gauge,
     store_age_seconds: Gauge<f64, AtomicU64>,
@@ -102,6 +104,8 @@
             notices: Family::default(),
             reach: Family::default(),
             handoffs: Family::default(),
+            left_out: Family::default(),
+            unreadable: Family::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
             store_age_seconds: Gauge::default(),
@@ -158,6 +162,16 @@
             "Requests handed to another host, by result",
             it.handoffs.clone(),
         );
+        registry.register(
+            "gossip_left_out",
+            "Items that had no room in a message to other hosts, by list",
+            it.left_out.clone(),
+        );
+        registry.register(
+            "gossip_unreadable",
+            "Datagrams of other hosts that can't be read, by reason",
+            it.unreadable.clone(),
+        );
         registry.register("upstreams", "Upstreams listed", it.upstreams.clone());
         registry.register("hosts", "Live hosts", it.hosts.clone());
         registry.register(
@@ -244,6 +258,18 @@
         self.handoffs.get_or_create(&ByCode { code: result }).inc();
     }
 
+    /// Counts items of a list that had no room in a message to other hosts.
+    pub fn left_out(&self, list: &'static str, count: usize) {
+        let counter = self.left_out.get_or_create(&ByCode { code: list });
+        counter.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+    }
+
+    /// Counts a datagram of another host that can't be read.
+    pub fn unreadable(&self, reason: &'static str) {
+        let label = ByCode { code: reason };
+        self.unreadable.get_or_create(&label).inc();
+    }
+
     /// Sets the gauges and returns all metrics in the Prometheus text format.
     pub fn text(&self, gauges: Gauges) -> Result<String, std::fmt::Error> {
         let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/tests/gateway_path/limits.rs
+++ b/tests/gateway_path/limits.rs
@@ -124,7 +124,7 @@
 
 /// Returns a message of another host that read the limit of an upstream just now.
 fn message(upstream: &str) -> Vec<u8> {
-    let message = Message {
+    let mut message = Message {
         sender: Sender {
             process: 7,
             zone: "z1".into(),
