Believe a response only if it names the request

What callers saw, in reports of other operators: 'not run, try again' for requests that an upstream had run or was running, or such a request at a second upstream, after a faulty upstream wrote an earlier refusal once more on a kept connection.

Cause: a response was refused only if it named another request. One that names none, with the header that says 'not run' or status 421, was believed, at upstreams and between hosts.

Requests that must not be repeated always get a new connection, so here the fault needs an upstream that mixes connections up.

Change: a response has to echo the id of the attempt, else its outcome is unknown.

The stand-in's 421 names the request now, as the users' pages say of all responses.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -597,7 +597,8 @@
     let echoed = header_text(&parts.headers, &names.attempt);
     let not_executed = parts.headers.contains_key(&names.not_executed)
         || parts.status == http::StatusCode::MISDIRECTED_REQUEST;
-    if echoed.is_some_and(|echoed| echoed != job.id) {
+    // A refusal that is left from an earlier request says nothing of this one.
+    if echoed.unwrap_or_default() != job.id {
         return Err(Loss::Unknown(Code::ForeignAnswer));
     }
     // Another upstream has this one's address now, and speaks of itself.
@@ -608,7 +609,7 @@
         history.runs -= 1;
         return Err(Loss::Rejected(parts.status));
     }
-    let is_genuine = echoed.is_some() && parts.headers.contains_key(&names.receipt);
+    let is_genuine = parts.headers.contains_key(&names.receipt);
     let is_encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
     if parts.status.is_success() && (!is_genuine || is_encoded) {
         return Err(Loss::Unknown(Code::ForeignAnswer));
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -243,7 +243,7 @@
     };
     let (mut parts, body) = response.into_parts();
     let echoed = header_text(&parts.headers, &state.names.attempt);
-    if echoed.is_some_and(|echoed| echoed != job.id) {
+    if echoed.unwrap_or_default() != job.id {
         return Err(Loss::Unknown(Code::ForeignAnswer));
     }
     let Some(record) = take_mark(&mut parts, job, address) else {
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -239,6 +239,11 @@
         }
     }
 
+    /// Returns the address to which other hosts send datagrams.
+    pub fn gossip(&self) -> SocketAddr {
+        SocketAddr::new(self.peer.ip(), self.state.options.gateway.gossip_port)
+    }
+
     /// Returns whether the load balancer would send callers to this host.
     pub fn is_ready(&self) -> bool {
         self.state.is_ready(boot::Instant::now())
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -24,6 +24,7 @@
 mod link;
 mod partition;
 mod partition_soak;
+mod refusals;
 mod rest;
 mod settings;
 mod store;
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -51,6 +51,8 @@
     Reject,
     /// Rejects the request as if it were for another upstream.
     Misdirected,
+    /// Runs the request, but writes a refusal with a status that doesn't name it.
+    EarlierRefusal(u16),
     /// Ends its process, and with it all connections, after the head of the response. It
     /// refuses connections until it has started again.
     Crash,
@@ -94,6 +96,8 @@
 /// A received request.
 #[derive(Clone, Debug)]
 pub struct Request {
+    /// Number of requests that came before it on its connection.
+    pub earlier: usize,
     headers: BTreeMap<String, String>,
     /// Its body.
     pub body: Vec<u8>,
@@ -300,7 +304,10 @@
     shared: &Shared,
     step: impl Fn(usize, &Request) -> Step,
 ) {
-    while let Some(request) = read(&mut stream).await {
+    let mut earlier = 0;
+    while let Some(mut request) = read(&mut stream).await {
+        request.earlier = earlier;
+        earlier += 1;
         let attempt = request.header("x-attempt").unwrap_or_default().to_owned();
         let resumed = request.header("x-last").and_then(|last| last.parse().ok());
         let resumed_to = shared.resumed_to.load(Ordering::Relaxed);
@@ -332,7 +339,9 @@
             }
             Step::Foreign => complete(200, "x-attempt: other\r\nx-receipt: r\r\n", "not yours"),
             Step::Reject => complete(503, &format!("{echo}x-not-executed: 1\r\n"), "full"),
-            Step::Misdirected => complete(421, &notice, ""),
+            Step::Misdirected => complete(421, &format!("x-attempt: {attempt}\r\n{notice}"), ""),
+            Step::EarlierRefusal(421) => complete(421, "", ""),
+            Step::EarlierRefusal(status) => complete(status, "x-not-executed: 1\r\n", "full"),
             Step::Reset | Step::ResetLate => {
                 if matches!(step, Step::ResetLate) {
                     tokio::time::sleep(SLOW_DELAY).await;
@@ -456,6 +465,7 @@
         }
     }
     Some(Request {
+        earlier: 0,
         headers,
         body: bytes[head..].to_vec(),
     })
