Look back as far for streams whose beginning the caller doesn't name

Cause: a request that doesn't name the attempt that began its stream was continued at the version that is listed now. A host that has just started knows of no other, although upstreams of another one may have begun the stream and left since.

Evidence: the new test fails before: a stream of v1 is continued at v2, 200, by a host that has just started. With the attempt named it is refused, also before.

Change: such a request is continued only if the service had no other version for three times the route's time limit, and this host was up for as long, as with a named attempt. The test that a host continues such a stream at once asserted the fault; it is replaced by one after that time, and one that both kinds are refused until then.

--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -93,13 +93,8 @@
 }
 
 async fn find(state: &Arc<State>, job: &Job) -> (Option<ident::Version>, Evidence) {
-    let view = state.view();
     let Some(origin) = &job.origin else {
-        // Nothing tells when the stream began, so only the current versions count.
-        return match view.only_version(boot::Instant::now(), &job.service, Duration::ZERO) {
-            Some(version) => (Some(version.clone()), Evidence::OnlyVersion),
-            None => (None, Evidence::Nothing),
-        };
+        return only_version(state, job);
     };
     let key = origin::key(origin);
     let known = lock(&state.origins).version(Instant::now(), key).cloned();
@@ -112,13 +107,17 @@
             (Some(version), Evidence::Peer)
         }
         Reply::Unreachable => (None, Evidence::Nothing),
-        Reply::Unknown => {
-            let lookback = job.route.timeout * LOOKBACK_FACTOR;
-            match view.only_version(boot::Instant::now(), &job.service, lookback) {
-                Some(version) => (Some(version.clone()), Evidence::OnlyVersion),
-                None => (None, Evidence::Nothing),
-            }
-        }
+        Reply::Unknown => only_version(state, job),
+    }
+}
+
+/// Returns the version of the service, if no stream of another one can be left.
+fn only_version(state: &State, job: &Job) -> (Option<ident::Version>, Evidence) {
+    let view = state.view();
+    let lookback = job.route.timeout * LOOKBACK_FACTOR;
+    match view.only_version(boot::Instant::now(), &job.service, lookback) {
+        Some(version) => (Some(version.clone()), Evidence::OnlyVersion),
+        None => (None, Evidence::Nothing),
     }
 }
 
--- a/tests/gateway_path/versions.rs
+++ b/tests/gateway_path/versions.rs
@@ -231,16 +231,34 @@
     assert_eq!(runs(&[&next[0]]), 0);
 }
 
-#[tokio::test]
-async fn a_stream_without_a_known_beginning_continues_if_there_is_one_version() {
-    let upstreams = truncating(&[("u1", "v1"), ("u2", "v1")]).await;
-    let all: Vec<&Upstream> = upstreams.iter().collect();
-    complete_resumed(&upstreams, true);
-    let host = Host::start(Kind::ResumableStream, &all).await;
+/// Sends a request that resumes a stream, but doesn't name the attempt that began it.
+async fn resume_unnamed(host: &Host, attempt: &str) -> Reply {
     let last = LAST.to_string();
-    let reply = caller::send(host.caller, "next", &[("x-last", last.as_str())]).await;
-    assert!(reply.is_complete);
-    assert_eq!(reply.body, upstream::events(LAST + 1, 10));
+    caller::send(host.caller, attempt, &[("x-last", last.as_str())]).await
+}
+
+/// All hosts were killed, and the upstreams that began the streams have left.
+#[tokio::test]
+async fn hosts_that_have_just_started_join_no_text_of_two_versions() {
+    let old = truncating(&[("u1", "v1")]).await;
+    let begun = Host::start(Kind::ResumableStream, &[&old[0]]).await;
+    let reply = caller::send(begun.caller, "a1", &[]).await;
+    assert_eq!(reply.body, upstream::events(0, LAST + 1));
+    begun.kill().await;
+    let new = truncating(&[("u2", "v2"), ("u3", "v2")]).await;
+    let all: Vec<&Upstream> = new.iter().collect();
+    complete_resumed(&new, true);
+    let fleet = Host::start_fleet(2, Kind::ResumableStream, &all).await;
+    for host in &fleet {
+        for reply in [
+            resume(host, "next1", "a1").await,
+            resume_unnamed(host, "next2").await,
+        ] {
+            assert_eq!(reply.status, 503, "{}", reply.text());
+            assert_eq!(outcome(&reply), Outcome::NotRun);
+        }
+    }
+    assert_eq!(runs(&all), 0);
 }
 
 /// Guards against a host that is cut off: another version may have started since, and
@@ -256,6 +274,9 @@
     let reply = resume(&fleet[2], "next1", "unknown1").await;
     assert!(reply.is_complete, "{}", reply.text());
     assert_eq!(reply.body, upstream::events(LAST + 1, 10));
+    let reply = resume_unnamed(&fleet[2], "next3").await;
+    assert!(reply.is_complete, "{}", reply.text());
+    assert_eq!(reply.body, upstream::events(LAST + 1, 10));
     fleet[0].kill().await;
     let reply = resume(&fleet[2], "next2", "unknown2").await;
     assert_eq!(reply.status, 503, "{}", reply.text());
