--- a/src/gateway/datagram/format.rs
+++ b/src/gateway/datagram/format.rs
@@ -6,6 +6,7 @@
 //! before it is decoded, and a host that sends older ones is sent datagrams without these fields.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 
 use rmpv::Value;
 use serde::Deserialize;
@@ -221,24 +222,29 @@
         if own == format {
             return Ok(self.bytes);
         }
-        if !self.older.contains_key(&format) {
-            let mut bytes = vec![format];
-            let full = match own {
-                VERSION => body.to_vec(),
-                own => complete(own, body)?.0,
-            };
-            bytes.extend(match format {
-                VERSION => full,
-                format => reduce(format, &full)?,
-            });
-            if format != VERSION {
-                let extension = Extension {
-                    newest: Some(VERSION),
-                };
-                bytes.extend(rmp_serde::to_vec_named(&extension)?);
-            }
-            self.older.insert(format, bytes);
-        }
-        Ok(self.older.get(&format).map_or(self.bytes, |bytes| bytes))
+        let older = match self.older.entry(format) {
+            Entry::Occupied(older) => older.into_mut(),
+            Entry::Vacant(older) => older.insert(convert(own, body, format)?),
+        };
+        Ok(older)
     }
 }
+
+/// Returns a datagram with the body of one in the format `from`.
+fn convert(from: u8, body: &[u8], format: u8) -> Result<Vec<u8>, Fault> {
+    let full = match from {
+        VERSION => body.to_vec(),
+        from => complete(from, body)?.0,
+    };
+    let mut bytes = vec![format];
+    if format == VERSION {
+        bytes.extend(full);
+        return Ok(bytes);
+    }
+    bytes.extend(reduce(format, &full)?);
+    let extension = Extension {
+        newest: Some(VERSION),
+    };
+    bytes.extend(rmp_serde::to_vec_named(&extension)?);
+    Ok(bytes)
+}
