Saturate sums of loads, and bound the size that a reply of another host states

A load near 2^32 in a message, or the slots of a few odd entries, overflowed a sum: the task that reads messages ended in a build with overflow checks, and a wrapped sum made a full upstream look idle in others. A reply of another host states its decompressed size, up to 4 GB, which was allocated before anything was read.

Two new tests. The first panics before ('attempt to add with overflow', at the sum of reports); before the second, such a reply is an error only after the memory was taken.

--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -46,7 +46,7 @@
     /// Returns the requests of all hosts in flight at an upstream.
     pub fn total(&self, upstream: &ident::Upstream) -> u32 {
         let count = |counts: &Counts| counts.get(upstream).copied().unwrap_or_default();
-        count(&self.own) + count(&self.sum)
+        count(&self.own).saturating_add(count(&self.sum))
     }
 
     /// Returns this host's requests in flight at an upstream.
@@ -76,7 +76,8 @@
         let hosts = self.reports.iter();
         let hosts = hosts.filter(|(source, _)| matches!(source, Source::Host(_)));
         for (upstream, count) in hosts.flat_map(|(_, report)| &report.counts) {
-            *sum.entry(upstream.clone()).or_default() += count;
+            let sum = sum.entry(upstream.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         sum
     }
@@ -88,7 +89,8 @@
             self.remove_other_shards(zone, shards);
         }
         for (upstream, count) in &counts {
-            *self.sum.entry(upstream.clone()).or_default() += count;
+            let sum = self.sum.entry(upstream.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         self.reports.insert(
             source,
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -108,9 +108,10 @@
     /// Returns the mean loads of a service's upstreams.
     pub fn of(members: &[Member]) -> Self {
         let mean = |loads: &mut dyn Iterator<Item = u32>| {
-            let (total, count) =
-                loads.fold((0, 0_u32), |(total, count), load| (total + load, count + 1));
-            f64::from(total) / f64::from(count.max(1))
+            let (total, count) = loads.fold((0_u64, 0_u32), |(total, count), load| {
+                (total + u64::from(load), count + 1)
+            });
+            total as f64 / f64::from(count.max(1))
         };
         let is_sound = |it: &&Member| it.status == Status::Healthy && !it.is_cold;
         Self {
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -412,6 +412,10 @@
 
     fn new(candidates: &[Candidate<'_>], own: u32) -> Self {
         let count = |fits: &dyn Fn(&&Candidate<'_>) -> bool| candidates.iter().filter(fits).count();
+        let sum = |number: &dyn Fn(&Candidate<'_>) -> u32| {
+            let numbers = candidates.iter().map(number);
+            numbers.fold(0, u32::saturating_add)
+        };
         Self {
             usable: candidates.len(),
             down: count(&|it| it.status == Status::Down),
@@ -420,8 +424,8 @@
             limited: count(&|it| it.limit_quota == Some(0)),
             brittle: count(&|it| it.room == Some(0)),
             own,
-            load: candidates.iter().map(|it| it.load).sum(),
-            slots: candidates.iter().map(|it| it.slots).sum(),
+            load: sum(&|it| it.load),
+            slots: sum(&|it| it.slots),
         }
     }
 }
--- a/src/mirror/wire.rs
+++ b/src/mirror/wire.rs
@@ -18,6 +18,10 @@
 /// The path of the metrics for operators, as text.
 pub const METRICS_PATH: &str = "/metrics";
 
+/// Maximum size of a reply, several times that of the whole store of a large fleet. A reply states
+/// its size before it is decompressed.
+const MAX_BYTES: usize = 64 << 20;
+
 /// Why a reply can't be encoded or decoded.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -27,6 +31,9 @@
     /// The reply can't be decompressed.
     #[error("can't be unpacked: {0}")]
     Decompress(#[from] lz4_flex::block::DecompressError),
+    /// The reply is too large.
+    #[error("has {0} bytes, expected at most {MAX_BYTES}")]
+    TooLarge(usize),
     /// The reply can't be decoded.
     #[error("can't be decoded: {0}")]
     Decode(#[from] rmp_serde::decode::Error),
@@ -67,6 +74,10 @@
 
 /// Decompresses and decodes a reply.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    let (size, _) = lz4_flex::block::uncompressed_size(bytes)?;
+    if size > MAX_BYTES {
+        return Err(Error::TooLarge(size));
+    }
     let bytes = lz4_flex::decompress_size_prepended(bytes)?;
     Ok(rmp_serde::from_slice(&bytes)?)
 }
--- a/tests/gateway_messages.rs
+++ b/tests/gateway_messages.rs
@@ -7,12 +7,16 @@
 use masticmoor::gateway::datagram::Message;
 use masticmoor::gateway::datagram::Report;
 use masticmoor::gateway::datagram::Sender;
+use masticmoor::gateway::load;
 use masticmoor::gateway::notice;
 use masticmoor::gateway::peers;
 use masticmoor::ident;
+use masticmoor::mirror::wire;
+use masticmoor::mirror::wire::Reply;
 use masticmoor::policy::crash;
 use masticmoor::policy::quarantine;
 use strum::VariantArray;
+use tokio::time::Instant;
 
 fn id(number: u32) -> ident::Upstream {
     format!("i-{number:010x}").as_str().into()
@@ -113,3 +117,29 @@
             .all(|list| message.report.len(*list) == 0)
     );
 }
+
+/// A count that overflows would end the task that reads messages.
+#[tokio::test(start_paused = true)]
+async fn loads_that_are_too_large_to_add_up_do_not_overflow() {
+    let mut loads = load::Table::default();
+    let now = Instant::now();
+    loads.begin(&id(1));
+    for host in 0..3 {
+        loads.report(now, load::Source::Host(host), [(id(1), u32::MAX)].into());
+    }
+    assert_eq!(loads.total(&id(1)), u32::MAX);
+    assert_eq!(loads.host_totals(), [(id(1), u32::MAX)].into());
+    for host in 0..3 {
+        loads.report(now, load::Source::Host(host), load::Counts::new());
+    }
+    loads.end(&id(1));
+    assert_eq!(loads.total(&id(1)), 0);
+}
+
+/// Not even the memory for such a reply may be taken.
+#[test]
+fn a_reply_that_states_an_absurd_size_is_refused() {
+    let bytes = [&u32::MAX.to_le_bytes()[..], &[0; 64]].concat();
+    let reply: Result<Reply, _> = wire::decode(&bytes);
+    assert!(matches!(reply, Err(wire::Error::TooLarge(_))), "{reply:?}");
+}
