--- a/tests/gateway_messages.rs
+++ b/tests/gateway_messages.rs
@@ -1,6 +1,5 @@
 //! What a message to other hosts holds when there is more to say than it has room for.
 
-#![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use masticmoor::gateway::datagram::DATAGRAM_BYTES;
 use masticmoor::gateway::datagram::List;
