Keep the load that users allow at suspect upstreams too

What callers saw: requests at upstreams that held more than twice the mean (LIMIT).

Cause: the cap of the last resort held for healthy upstreams alone. Sound upstreams are suspect after a cut, a second of silence or a lost host; where few of them can be chosen, as the others have no room, are limited or of another version, these got all requests, up to two for each slot.

Change: such an upstream is compared with all that aren't down or cold.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -91,6 +91,8 @@
     /// Of those that are healthy and not cold, also if they can't be chosen: those that leave,
     /// are limited or have another version.
     pub sound: f64,
+    /// Of those that aren't down and not cold, also if they fail or lose requests.
+    pub reachable: f64,
 }
 
 /// A listed upstream of a service, whether or not it can be chosen.
@@ -114,8 +116,10 @@
             total as f64 / f64::from(count.max(1))
         };
         let is_sound = |it: &&Member| it.status == Status::Healthy && !it.is_cold;
+        let is_reachable = |it: &&Member| it.status != Status::Down && !it.is_cold;
         Self {
             listed: mean(&mut members.iter().map(|it| it.load)),
+            reachable: mean(&mut members.iter().filter(is_reachable).map(|it| it.load)),
             sound: mean(&mut members.iter().filter(is_sound).map(|it| it.load)),
         }
     }
@@ -255,10 +259,13 @@
 }
 
 /// Returns whether an upstream above its cap may get a request: not if few can be chosen and it
-/// would get much more than the others. One that fails is used only where all do, and then
-/// without that limit.
+/// would get much more than the others. One that fails is used only where all do, and is compared
+/// with those: sound upstreams look like that too, after a cut or a moment of silence.
 fn may_exceed(mean: Mean, it: &Candidate<'_>) -> bool {
-    it.status != Status::Healthy || FALLBACK_CAP.allows(mean.sound, it)
+    match it.status {
+        Status::Healthy => FALLBACK_CAP.allows(mean.sound, it),
+        Status::Suspect | Status::Probe | Status::Down => FALLBACK_CAP.allows(mean.reachable, it),
+    }
 }
 
 /// Returns the candidates that may get the request now, with their indices.
--- a/tests/gateway_messages.rs
+++ b/tests/gateway_messages.rs
@@ -1,6 +1,5 @@
 //! What a message to other hosts holds when there is more to say than it has room for.
 
-
 use masticmoor::gateway::datagram::DATAGRAM_BYTES;
 use masticmoor::gateway::datagram::List;
 use masticmoor::gateway::datagram::Message;
