--- a/src/gateway/datagram/format.rs
+++ b/src/gateway/datagram/format.rs
@@ -15,9 +15,17 @@
 use super::Fault;
 use super::VERSION;
 
-/// Oldest format that is read. The format before had no eras of the store, and its hosts can't
-/// copy the store from this build, nor this build from them.
-pub const OLDEST: u8 = 6;
+/// Oldest format that is read.
+pub const OLDEST: u8 = 5;
+
+/// First format whose hosts know eras of the store. Others can't copy the store from this build,
+/// nor this build from them.
+const ERAS: u8 = 6;
+
+/// Indices among the fields of a sender, in formats before [`ERAS`].
+const REVISION: usize = 3;
+const AGE: usize = 4;
+const LINK_SPEED: usize = 5;
 
 /// Maximum number of lists and maps within each other, more than a datagram has. The stack bounds
 /// it.
@@ -123,6 +131,13 @@
 /// Returns the body of a datagram of an older format as one of the newest, and what follows it.
 pub fn complete(format: u8, body: &[u8]) -> Result<(Vec<u8>, &[u8]), Fault> {
     change(body, |structures| {
+        if format < ERAS {
+            structures.edit(Structure::Sender, |fields| {
+                let position = Value::Array(vec![Value::from(0), Value::from(0)]);
+                let progress = Value::Array(vec![position, Value::from(0)]);
+                hide_store(fields, progress);
+            });
+        }
         for field in FIELDS.iter().filter(|it| it.since > format) {
             structures.edit(field.structure, |fields| {
                 if field.index <= fields.len() {
@@ -143,10 +158,30 @@
                 }
             });
         }
+        if format < ERAS {
+            structures.edit(Structure::Sender, |fields| {
+                hide_store(fields, Value::from(0))
+            });
+        }
     })?;
     Ok(bytes)
 }
 
+/// Lets a sender look as one from which nobody copies the store: without a copy, and with the
+/// slowest link.
+fn hide_store(fields: &mut [Value], progress: Value) {
+    let hidden = [
+        (REVISION, progress),
+        (AGE, Value::Nil),
+        (LINK_SPEED, Value::from(0)),
+    ];
+    for (index, value) in hidden {
+        if let Some(field) = fields.get_mut(index) {
+            *field = value;
+        }
+    }
+}
+
 /// Decodes a body, changes its structures and encodes it again. Returns what follows it as well.
 fn change(body: &[u8], edit: impl FnOnce(&mut Structures)) -> Result<(Vec<u8>, &[u8]), Fault> {
     let mut rest = body;
