Don't repeat a request after its third crash, and tell others of it at once

What callers saw: a request under which three upstreams had ended was sent on (BUDGET).

Cause: crashes of a request were looked up once, when it arrived. It was repeated, or sent after it had waited, although it or others like it had crashed a third upstream since. That news then waited for the next round of messages, 1.3 s in a fleet of 80 hosts.

Evidence: the new test fails before, with 4 runs of two requests where 3 may be.

Change: the crashes are looked up again before each send, and a host that records the third one sends its message at once.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -330,7 +330,14 @@
         None => {
             record_observation(state, upstream, Observation::Lost);
             if matches!(code, Code::UpstreamLost | Code::AnswerCut) {
-                lock(&state.crashes).record(now, job.fingerprint, upstream);
+                let is_refused = {
+                    let mut crashes = lock(&state.crashes);
+                    crashes.record(now, job.fingerprint, upstream);
+                    crashes.refused(now, job.fingerprint).is_some()
+                };
+                if is_refused {
+                    state.gossip_urgent.notify_one();
+                }
                 if crash::record_loss(state, job, history, upstream).await {
                     return Err(Refusal::unknown(Code::UpstreamCrashed));
                 }
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -66,16 +66,33 @@
                 runs = history.runs,
                 "request: prompt segment crashed several upstreams"
             );
-            Err(match history.runs {
-                0 => Refusal::not_run(Code::CrashedRepeatedly).with_retry_after(left),
-                _ => Refusal::unknown(Code::UpstreamCrashed),
-            })
+            Err(refusal(history, left))
         }
     }
 }
 
-/// Checks a request as [`check`] does, immediately before it is sent.
+/// Returns the refusal of a request that would crash another upstream.
+fn refusal(history: &History, left: Duration) -> Refusal {
+    match history.runs {
+        0 => Refusal::not_run(Code::CrashedRepeatedly).with_retry_after(left),
+        _ => Refusal::unknown(Code::UpstreamCrashed),
+    }
+}
+
+/// Checks a request as [`check`] does, and its own crashes, immediately before it is sent. Others
+/// may have sent the same request while it waited.
 pub fn check_before_send(state: &State, job: &Job, history: &History) -> Result<(), Refusal> {
+    let refused = lock(&state.crashes).refused(Instant::now(), job.fingerprint);
+    if let Some(left) = refused {
+        info!(
+            id = job.id,
+            fingerprint = job.fingerprint,
+            left_ms = millis(left),
+            runs = history.runs,
+            "request: crashed several upstreams"
+        );
+        return Err(refusal(history, left));
+    }
     if check(state, job, history)? == Verdict::Trial {
         info!(id = job.id, "request: sent to try a refused prompt segment");
         lock(&state.quarantine).begin_trial(Instant::now(), &job.segments);
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -333,6 +333,25 @@
     assert!(!caller::connects(address).await);
 }
 
+/// Its third crash may come in the first of two attempts.
+#[tokio::test]
+async fn a_request_is_not_repeated_after_its_third_crash() {
+    let upstreams = [
+        Upstream::start("u1", |_| Step::Reset).await,
+        Upstream::start("u2", |_| Step::Reset).await,
+        Upstream::start("u3", |_| Step::Reset).await,
+        Upstream::start("u4", |_| Step::Reset).await,
+        Upstream::start("u5", |_| Step::Reset).await,
+    ];
+    let all: Vec<&Upstream> = upstreams.iter().collect();
+    let host = Host::start(Kind::Idempotent, &all).await;
+    for number in 0..2 {
+        let reply = caller::send(host.caller, &format!("a{number}"), &[]).await;
+        assert_eq!(outcome(&reply), Outcome::Unknown);
+    }
+    assert_eq!(runs(&all), 3);
+}
+
 #[tokio::test]
 async fn a_request_that_crashes_upstreams_is_refused() {
     let upstreams = [
