Report what upstreams announced in turn, news first, as crashes are

Cause: of the notices that changed in the last 2 s, a message held the newest 10, always the same ones, and two of the others in turn. When all upstreams of a fleet name a limit at once, most of that news was no news any more before it was reported.

Evidence: the new test fails before: 30 of 140 upstreams are reported in 30 messages.

Change: notices take turns as crashes and segments do (policy::report), up to 10 news and two others in a message, and only those in the message count as reported. The tests that read reports record them as hosts do.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -315,6 +315,7 @@
         }
     }
     let fingerprints = report.crashes.iter().map(|crash| crash.fingerprint);
+    lock(&state.notices).record_reported(now, &report.notices);
     lock(&state.crashes).record_reported(now, fingerprints);
     lock(&state.quarantine).record_reported(now, &report.segments);
 }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -17,6 +17,7 @@
 use crate::gateway::upstream::Upstream;
 use crate::ident;
 use crate::log::millis;
+use crate::policy::report;
 
 /// How long a notice is kept after it was last read. An upstream that leaves serves for some
 /// seconds, at most a few minutes.
@@ -31,9 +32,6 @@
 /// Number of other notices in a message. Notices may last for hours, so they are repeated slowly.
 const MAX_REPEATED: usize = 2;
 
-/// How long a notice counts as news.
-const NEWS_TIME: Duration = Duration::from_secs(2);
-
 /// Fraction by which a limit changes before it is news. Hosts may exceed a limit by more, and an
 /// upstream may name another one in each response.
 const MIN_LIMIT_CHANGE: f64 = 0.1;
@@ -110,8 +108,8 @@
     told_limit: Option<f64>,
     /// When a host last read it in a response.
     read_at: Instant,
-    /// When this host learned what it didn't know before.
-    learned_at: Instant,
+    /// When this host learned what it didn't know before, and told others.
+    turn: report::Turn,
     /// This host's share of the limit, once it was needed.
     bucket: Option<Bucket>,
     /// This host's rank in the upstream's rendezvous order, once it was needed, and when it was
@@ -125,8 +123,6 @@
     entries: BTreeMap<ident::Upstream, Entry>,
     /// Upstreams that asked this host for rest. Other hosts aren't meant.
     rests: BTreeMap<ident::Upstream, Rest>,
-    /// Number of notices reported so far, to rotate them.
-    offset: usize,
 }
 
 impl Table {
@@ -272,13 +268,15 @@
     /// that started or were cut off may lack.
     pub fn reports(&mut self, now: Instant) -> Vec<Report> {
         self.expire(now);
-        let is_news = |entry: &Entry| now.duration_since(entry.learned_at) < NEWS_TIME;
-        let (mut news, rest): (Vec<_>, Vec<_>) =
-            self.entries.iter().partition(|(_, entry)| is_news(entry));
-        news.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.learned_at));
-        let skip = self.offset % rest.len().max(1);
-        let repeated = rest.len().min(MAX_REPEATED);
-        let repeated = rest.iter().cycle().skip(skip).take(repeated).copied();
+        let items = self.entries.iter().map(|item| report::Item {
+            content: item,
+            turn: item.1.turn,
+            is_urgent: item.1.statement.is_leaving,
+        });
+        let ordered = report::in_order(now, items);
+        let (news, rest): (Vec<_>, Vec<_>) =
+            ordered.partition(|(_, entry)| entry.turn.is_news(now));
+        let repeated = rest.into_iter().take(MAX_REPEATED);
         let reports = news.into_iter().take(MAX_NEWS).chain(repeated);
         let reports = reports.map(|(upstream, entry)| Report {
             upstream: upstream.clone(),
@@ -289,9 +287,16 @@
             age_ms: millis(now.duration_since(entry.read_at)),
             is_partial: false,
         });
-        let reports = reports.collect();
-        self.offset = self.offset.wrapping_add(MAX_REPEATED);
-        reports
+        reports.collect()
+    }
+
+    /// Records that notices were reported to other hosts.
+    pub fn record_reported(&mut self, now: Instant, reports: &[Report]) {
+        for report in reports {
+            if let Some(entry) = self.entries.get_mut(&report.upstream) {
+                entry.turn.record_report(now);
+            }
+        }
     }
 
     /// Returns the number of upstreams with a notice.
@@ -339,7 +344,7 @@
             is_limit_changed: differs(told_limit, statement.limit),
             is_rejection_limit_changed: statement.rejection_limit != old.rejection_limit,
         };
-        let learned_at = known.filter(|_| !news.is_any()).map(|it| it.learned_at);
+        let turn = known.filter(|_| !news.is_any()).map(|it| it.turn);
         let read_at = known.map_or(read_at, |it| it.read_at.max(read_at));
         if known.is_none() && statement == Statement::default() {
             return News::default();
@@ -352,7 +357,7 @@
                 false => told_limit,
             },
             read_at,
-            learned_at: learned_at.unwrap_or(now),
+            turn: turn.unwrap_or_else(|| report::Turn::new(now)),
             bucket: known.and_then(|it| it.bucket),
             rank: known.and_then(|it| it.rank),
         };
--- a/src/policy/report.rs
+++ b/src/policy/report.rs
@@ -46,7 +46,8 @@
         self.reported_at = Some(now);
     }
 
-    fn is_news(&self, now: Instant) -> bool {
+    /// Returns whether the item's last change comes before others.
+    pub fn is_news(&self, now: Instant) -> bool {
         self.reports < NEWS_REPORTS && now.duration_since(self.changed_at) < NEWS_LIFETIME
     }
 }
--- a/tests/gateway_notice.rs
+++ b/tests/gateway_notice.rs
@@ -1,6 +1,7 @@
 //! What upstreams announce of themselves: which run it belongs to, how long it is kept, and
 //! that reports of hosts replace each other by run.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use masticmoor::gateway::gossip::Backlog;
@@ -117,14 +118,11 @@
         );
     }
     advance(Duration::from_secs(5)).await;
-    let mut reported = std::collections::BTreeSet::new();
+    let mut reported = BTreeSet::new();
     for _ in 0..13 {
-        reported.extend(
-            table
-                .reports(Instant::now())
-                .into_iter()
-                .map(|it| it.upstream),
-        );
+        let reports = table.reports(Instant::now());
+        table.record_reported(Instant::now(), &reports);
+        reported.extend(reports.into_iter().map(|it| it.upstream));
     }
     assert_eq!(reported.len(), 25);
     record_leaving(&mut table, Instant::now(), &upstream("news", 5));
@@ -350,3 +348,29 @@
     table.record(later, later, &one, &Notice::default());
     assert_eq!(table.brittle_rank(later, &one, || 7), None);
 }
+
+/// On a day on which all upstreams name a limit at once, the same few would be reported for as long
+/// as they are news.
+#[tokio::test(start_paused = true)]
+async fn notices_of_many_upstreams_are_reported_in_bounded_time() {
+    const UPSTREAMS: usize = 140;
+    let mut table = Table::default();
+    for number in 0..UPSTREAMS {
+        let now = Instant::now();
+        let limited = upstream(&format!("u{number}"), 5);
+        let notice = Notice {
+            limit: Some(2.5),
+            ..Notice::default()
+        };
+        table.record(now, now, &limited, &notice);
+    }
+    let mut reported = BTreeSet::new();
+    for _ in 0..30 {
+        let now = Instant::now();
+        let reports = table.reports(now);
+        table.record_reported(now, &reports);
+        reported.extend(reports.into_iter().map(|report| report.upstream));
+        advance(Duration::from_millis(100)).await;
+    }
+    assert_eq!(reported.len(), UPSTREAMS);
+}
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -307,7 +307,11 @@
     spread(
         &mut fleet,
         &mut tables,
-        notice::Table::reports,
+        |table, now| {
+            let reports = table.reports(now);
+            table.record_reported(now, &reports);
+            reports
+        },
         |table, now, report| {
             table.merge(now, report, Duration::ZERO);
         },
