--- a/tests/log_volume.rs
+++ b/tests/log_volume.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::io;
 use std::io::Write;
+use std::path::Path;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -66,8 +67,8 @@
     drop(guard);
 }
 
-/// Returns the messages of all log lines in the source files of a folder.
-fn messages(folder: &str) -> BTreeSet<String> {
+/// Returns the messages of all log lines in the source files of a folder and of those in it.
+fn messages(folder: &Path) -> BTreeSet<String> {
     let prefixes = [
         "callers: ",
         "gateway: ",
@@ -79,10 +80,14 @@
         "upstream: ",
         "view: ",
     ];
-    let files = fs::read_dir(folder).unwrap();
-    let texts = files.map(|file| fs::read_to_string(file.unwrap().path()).unwrap());
     let mut found = BTreeSet::new();
-    for text in texts {
+    for file in fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        if path.is_dir() {
+            found.extend(messages(&path));
+            continue;
+        }
+        let text = fs::read_to_string(path).unwrap();
         for literal in text.split('"').skip(1).step_by(2) {
             if prefixes.iter().any(|prefix| literal.starts_with(prefix)) {
                 found.insert(literal.to_owned());
@@ -94,8 +99,9 @@
 
 #[test]
 fn the_operators_page_documents_each_message() {
-    let messages = messages("src/gateway");
+    let mut messages = messages(Path::new("src/gateway"));
     assert!(messages.len() > 20, "{messages:?}");
+    messages.extend(self::messages(Path::new("platform/src")));
     let missing: Vec<_> = messages
         .iter()
         .filter(|message| !PAGE.contains(&format!("`{message}`")))
