Split what gossip receives from what it sends; draw the format for unheard hosts

A relay's summaries may fall on rounds of one parity, so that hosts of another zone would always have got one format. The format is drawn now. No other change of behaviour.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,9 +5,10 @@
 //! recipients of each round come from [`relay`]. The versions that began streams are sent
 //! at once, to the hosts that [`origin`] selects.
 
+mod receive;
+
 use std::collections::BTreeMap;
 use std::io;
-use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,24 +18,20 @@
 use strum::VariantArray;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
-use tracing::info;
 use tracing::warn;
 
 use crate::boot;
 use crate::gateway::datagram;
-use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::List;
 use crate::gateway::datagram::Message;
 use crate::gateway::datagram::Origins;
 use crate::gateway::datagram::Placements;
-use crate::gateway::datagram::Received;
 use crate::gateway::datagram::Report;
 use crate::gateway::datagram::Sender;
 use crate::gateway::datagram::Summary;
 use crate::gateway::datagram::format::Encoded;
+use crate::gateway::gossip::receive::receive;
 use crate::gateway::health::Scope;
-use crate::gateway::load;
-use crate::gateway::notice;
 use crate::gateway::origin;
 use crate::gateway::peers::Selection;
 use crate::gateway::relay;
@@ -171,7 +168,7 @@
     if let Some(bytes) = encode(state, now, &mut full) {
         let mut encoded = Encoded::new(&bytes);
         for address in direct {
-            send_to(state, socket, address, &mut encoded, round).await;
+            send_to(state, socket, address, &mut encoded).await;
         }
     }
     if !remote.is_empty()
@@ -183,7 +180,7 @@
     {
         let mut encoded = Encoded::new(&bytes);
         for address in remote {
-            send_to(state, socket, address, &mut encoded, round).await;
+            send_to(state, socket, address, &mut encoded).await;
         }
     }
     for (address, zone) in starting {
@@ -193,14 +190,14 @@
             message.report.loads.clear();
         }
         if let Some(bytes) = encode(state, now, &mut message) {
-            send_to(state, socket, address, &mut Encoded::new(&bytes), round).await;
+            send_to(state, socket, address, &mut Encoded::new(&bytes)).await;
         }
     }
     if !summary.is_empty() {
         for bytes in encode_summary(state, now, round, relay.take_placements()) {
             let mut encoded = Encoded::new(&bytes);
             for address in &summary {
-                send_to(state, socket, *address, &mut encoded, round).await;
+                send_to(state, socket, *address, &mut encoded).await;
             }
         }
     }
@@ -226,7 +223,7 @@
         match origins.encode() {
             Ok(datagrams) => {
                 for bytes in datagrams {
-                    send_to(state, socket, host, &mut Encoded::new(&bytes), 0).await;
+                    send_to(state, socket, host, &mut Encoded::new(&bytes)).await;
                 }
             }
             Err(error) => warn!(%error, "peers: can't encode the versions of streams"),
@@ -254,20 +251,15 @@
     };
     let mut encoded = Encoded::new(bytes);
     for address in hosts {
-        send_to(state, socket, address, &mut encoded, 0).await;
+        send_to(state, socket, address, &mut encoded).await;
     }
 }
 
 /// Sends a datagram in the format that a host reads.
-async fn send_to(
-    state: &State,
-    socket: &UdpSocket,
-    address: Ipv4Addr,
-    datagram: &mut Encoded<'_>,
-    round: usize,
-) {
+async fn send_to(state: &State, socket: &UdpSocket, address: Ipv4Addr, datagram: &mut Encoded<'_>) {
     let to = SocketAddr::new(address.into(), state.options.gateway.gossip_port);
-    let format = lock(&state.peers).format(Instant::now(), &address, round);
+    let draw = state.random_fraction();
+    let format = lock(&state.peers).format(Instant::now(), &address, draw);
     let bytes = match datagram.in_format(format) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -434,167 +426,3 @@
         }
     }
 }
-
-/// Merges a datagram into the shared tables, and returns whether it is to be forwarded
-/// to the hosts of this zone. It may have waited for the time `unread`.
-fn receive(
-    state: &State,
-    from: SocketAddr,
-    bytes: &[u8],
-    relay: &mut Relay,
-    unread: Duration,
-) -> bool {
-    let IpAddr::V4(address) = from.ip() else {
-        return false;
-    };
-    let Received { datagram, format } = match datagram::decode(bytes) {
-        Ok(received) => received,
-        Err(error) => {
-            warn!(%error, %from, "peers: can't decode a datagram");
-            state.meter.unreadable((&error).into());
-            return false;
-        }
-    };
-    let zone = &state.options.host.zone;
-    match datagram {
-        Datagram::Message(message) if message.sender.process == state.process => false,
-        Datagram::Message(message) => {
-            let is_same_zone = message.sender.zone == *zone;
-            let (is_relayed, is_settling) = {
-                let now = Instant::now();
-                let peers = lock(&state.peers);
-                let others = peers.sharing_peers(now).count();
-                (relay::is_relayed(others), peers.is_settling(now))
-            };
-            let source = match is_same_zone || !is_relayed {
-                true => load::Source::Host(message.sender.process),
-                false => load::Source::RemoteHost(message.sender.process),
-            };
-            match is_same_zone {
-                true => relay.record(&message.report.placements),
-                false if message.is_settling && !is_settling => {
-                    relay.record_starting(address, &message.sender.zone);
-                }
-                false => {}
-            }
-            merge_notices(state, &message.report.notices, unread);
-            let from = Origin {
-                address,
-                format,
-                sender: &message.sender,
-            };
-            merge(state, from, source, message.report);
-            false
-        }
-        Datagram::Origins(origins) => {
-            let now = Instant::now();
-            let mut table = lock(&state.origins);
-            for (key, version) in &origins.streams {
-                table.record(now, *key, version);
-            }
-            false
-        }
-        Datagram::Summary(summary) if summary.sender.zone == *zone => false,
-        Datagram::Summary(summary) => {
-            let is_direct = summary.address == address;
-            let source = summary.source();
-            merge_notices(state, &summary.report.notices, unread);
-            let from = Origin {
-                address: summary.address,
-                format,
-                sender: &summary.sender,
-            };
-            merge(state, from, source, summary.report);
-            is_direct
-        }
-    }
-}
-
-/// The host that a report comes from.
-struct Origin<'a> {
-    address: Ipv4Addr,
-    /// Format of its datagram.
-    format: u8,
-    sender: &'a Sender,
-}
-
-/// Merges the report of a host or of a zone into the shared tables.
-fn merge(state: &State, from: Origin<'_>, source: load::Source, report: Report) {
-    let Origin {
-        address,
-        format,
-        sender,
-    } = from;
-    let now = Instant::now();
-    let is_same_zone = sender.zone == state.options.host.zone;
-    if sender.progress.is_ahead(&state.progress()) {
-        state.store_behind.notify_one();
-    }
-    let lost = {
-        let announcement = sender.announcement(format);
-        let mut peers = lock(&state.peers);
-        let lost = peers.newly_unreachable(address, &announcement);
-        if peers.receive(now, address, announcement) {
-            info!(%address, process = sender.process, "peers: new host");
-        }
-        for contact in &report.contacts {
-            peers.add(now, contact);
-        }
-        lost
-    };
-    for service in lost {
-        info!(%address, %service, "peers: a host can connect to no upstream of a service");
-        // It may have reported them before it knew.
-        let view = state.view();
-        let mut health = lock(&state.health);
-        for record in view.listed(&service) {
-            health.forget_reports(&record.upstream.id);
-        }
-    }
-    {
-        let mut health = lock(&state.health);
-        for (upstream, left, is_down) in &report.suspects {
-            let left = Duration::from_millis(*left);
-            health.merge(now, upstream, left, *is_down, is_same_zone);
-        }
-    }
-    let loads = report.loads.into_iter().collect();
-    lock(&state.loads).report(now, source, loads);
-    {
-        let mut cache = lock(&state.prefix_cache);
-        for (prompt, upstream) in &report.placements {
-            cache.record_remote(now, *prompt, upstream);
-        }
-    }
-    {
-        let mut crashes = lock(&state.crashes);
-        for crash in &report.crashes {
-            crashes.merge(now, crash);
-        }
-    }
-    let mut quarantine = lock(&state.quarantine);
-    for segment in &report.segments {
-        quarantine.merge(now, segment);
-    }
-}
-
-/// Merges what other hosts read in responses of upstreams, from a datagram that may have waited
-/// for the time `unread`.
-fn merge_notices(state: &State, reports: &[notice::Report], unread: Duration) {
-    let now = Instant::now();
-    for report in reports {
-        let news = lock(&state.notices).merge(now, report, unread);
-        let (upstream, age_ms) = (&report.upstream, report.age_ms);
-        if news.is_leaving {
-            info!(%upstream, age_ms, "upstream: announced to another host that it leaves");
-        }
-        if news.is_rejection_limit_changed {
-            let rejection_limit = report.rejection_limit;
-            info!(%upstream, age_ms, rejection_limit, "upstream: brittle, as another host read");
-        }
-        if news.is_limit_changed {
-            let limit = report.limit;
-            info!(%upstream, age_ms, limit, "upstream: limit changed, as another host read");
-        }
-    }
-}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -480,12 +480,12 @@
         near + far.take(most - near).count()
     }
 
-    /// Returns the format of the datagram that a host is sent in a round, given its number.
+    /// Returns the format of a datagram for a host. `draw` is uniform in 0..1.
     ///
     /// A host that was heard lately reads the format in which it sends. Another one may be of any
-    /// build that this host has heard, or of any at all while this one looks for others. Hosts of
-    /// this build read all formats, so that they are found at once.
-    pub fn format(&self, now: Instant, address: &Ipv4Addr, round: usize) -> u8 {
+    /// build that this host has heard, or of any at all while this one looks for others: it gets
+    /// every second datagram in the newest format. Hosts of this build read all.
+    pub fn format(&self, now: Instant, address: &Ipv4Addr, draw: f64) -> u8 {
         let is_heard = |peer: &&Peer| {
             let received = peer.last_received;
             received.is_some_and(|at| now.duration_since(at) < LIVE_TIMEOUT)
@@ -502,11 +502,8 @@
                 known.into_iter().rev().collect()
             }
         };
-        let turn = older.get(round / 2 % older.len().max(1));
-        match (round.is_multiple_of(2), turn) {
-            (false, Some(format)) => *format,
-            (true | false, _) => datagram::VERSION,
-        }
+        let index = (draw * 2.0 * older.len() as f64) as usize;
+        older.get(index).copied().unwrap_or(datagram::VERSION)
     }
 
     /// Returns the hosts that gossip may be sent to: known hosts and unknown seeds.
--- a/tests/gateway_formats.rs
+++ b/tests/gateway_formats.rs
@@ -262,8 +262,10 @@
     table.contacts(Instant::now(), Selection::Sample);
     let formats = |table: &Table| {
         let now = Instant::now();
-        let rounds = (0..20).map(|round| table.format(now, &seed, round));
-        let mut formats: Vec<_> = rounds.collect();
+        let draws = (0..20).map(|draw| table.format(now, &seed, f64::from(draw) / 20.0));
+        let newest = draws.clone().filter(|format| *format == VERSION);
+        assert!(newest.count() >= 10 || table.live(now).count() == 1);
+        let mut formats: Vec<_> = draws.collect();
         formats.sort_unstable();
         formats.dedup();
         formats
