--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -426,28 +426,26 @@
 
 /// Decodes a datagram of this format or of an older one.
 pub fn decode(bytes: &[u8]) -> Result<Received, Fault> {
-    let (version, datagram, rest) = match bytes {
-        [VERSION, body @ ..] => {
+    let (version, body) = bytes.split_first().ok_or(Fault::Empty)?;
+    let (datagram, rest) = match *version {
+        VERSION => {
             let mut rest = body;
-            (VERSION, rmp_serde::from_read(&mut rest)?, rest)
+            (rmp_serde::from_read(&mut rest)?, rest)
         }
-        [version, body @ ..] if format::is_known(*version) => {
-            let (body, rest) = format::complete(*version, body)?;
+        older if format::is_known(older) => {
+            let (body, rest) = format::complete(older, body)?;
             let mut datagram = rmp_serde::from_slice(&body)?;
-            if !format::has_all_notices(*version) {
+            if !format::has_all_notices(older) {
                 mark_partial(&mut datagram);
             }
-            (*version, datagram, rest)
+            (datagram, rest)
         }
-        [version, ..] => return Err(Fault::Version(*version)),
-        [] => return Err(Fault::Empty),
+        unknown => return Err(Fault::Version(unknown)),
     };
-    let extension = format::Extension::read(rest)?;
+    let newest = format::Extension::read(rest)?.newest;
     Ok(Received {
         datagram,
-        format: version
-            .max(extension.newest.unwrap_or_default())
-            .min(VERSION),
+        format: newest.unwrap_or_default().clamp(*version, VERSION),
     })
 }
 
--- a/src/gateway/datagram/format.rs
+++ b/src/gateway/datagram/format.rs
@@ -250,16 +250,13 @@
 
     /// Returns the datagram in a format.
     pub fn in_format(&mut self, format: u8) -> Result<&[u8], Fault> {
-        let (own, body) = match self.bytes {
-            [own, body @ ..] => (*own, body),
-            [] => return Err(Fault::Empty),
-        };
-        if own == format {
+        let (own, body) = self.bytes.split_first().ok_or(Fault::Empty)?;
+        if *own == format {
             return Ok(self.bytes);
         }
         let older = match self.older.entry(format) {
             Entry::Occupied(older) => older.into_mut(),
-            Entry::Vacant(older) => older.insert(convert(own, body, format)?),
+            Entry::Vacant(older) => older.insert(convert(*own, body, format)?),
         };
         Ok(older)
     }
