Continue a stream only with what can follow its events

Here a response that resumed a stream was accepted by its status alone: a 204, a 206, a JSON text or a page was passed on as the rest of it, an empty body ended it, an error event without a number was put behind its events. A 4xx or 5xx ended it although the route allowed another attempt. Events without a number came twice when the stream was resumed.

Now what continues a stream has the status of the response that began it, no other type of content, and first an event with the next number. Anything else is left, and another upstream is tried within the route's attempts and the budget of retries; else the response breaks off, and the caller may resume it. An end without an event is believed once two upstreams say so. A stream isn't resumed behind events without a number.

Ruled out: a repeat of events that the caller has (dropped before and now), a response in another coding, trailers, a foreign response, a gap; a failure as the answer to a caller that resumes a stream is a response of its own; another host's refusal is not passed on within a stream.

--- a/src/event.rs
+++ b/src/event.rs
@@ -76,6 +76,14 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns whether it consists of comments alone.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | b"\r" | [b':', ..]))
+    }
+}
+
 /// Buffers a stream and returns its complete events.
 #[derive(Debug, Default)]
 pub struct Splitter {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -79,6 +79,13 @@
     last_event: Option<u64>,
     /// Whether the current upstream resumed the stream, so that it may repeat events.
     is_resumed: bool,
+    /// Whether the current upstream has sent a numbered event of the stream.
+    has_numbered_event: bool,
+    /// Whether events without a number were forwarded after the last numbered one. The stream
+    /// can't be resumed then: they might come again.
+    has_unnumbered_tail: bool,
+    /// Last event at which an upstream that resumed the stream ended it without an event.
+    ended_after: Option<u64>,
     /// Factor of the time limit for the next event, raised by one each time the limit
     /// passes without another upstream to move to.
     limit_factor: u32,
@@ -135,6 +142,9 @@
         splitter: Splitter::default(),
         fault: None,
         is_resumed: false,
+        has_numbered_event: false,
+        has_unnumbered_tail: false,
+        ended_after: None,
         limit_factor: 1,
         is_over: false,
         first_event_after: Duration::ZERO,
@@ -191,7 +201,7 @@
                         _ => continue,
                     }
                 }
-                Ok(None) if self.is_whole() => return self.end(),
+                Ok(None) if self.is_whole() && self.is_end_confirmed() => return self.end(),
                 Ok(None | Some(Err(_))) => Code::AnswerCut,
                 Err(_) if Instant::now() >= self.job.deadline => {
                     return Some(Err(self.fail(Code::StreamTimeout)));
@@ -219,13 +229,26 @@
         let before = self.history.events;
         while let Some(event) = self.splitter.take() {
             match (event.id, self.last_event) {
-                (Some(id), Some(last)) if id <= last && self.is_resumed => continue,
+                (Some(id), Some(last)) if id <= last && self.is_resumed => {
+                    self.has_numbered_event = true;
+                    continue;
+                }
                 (Some(id), Some(last)) if id != last + 1 => {
                     self.fault = Some(Code::ForeignAnswer);
                     break;
                 }
-                (Some(id), _) => self.last_event = Some(id),
-                (None, _) => {}
+                (Some(id), _) => {
+                    self.last_event = Some(id);
+                    self.has_numbered_event = true;
+                    self.has_unnumbered_tail = false;
+                }
+                (None, _) if event.is_comment() => {}
+                // It may be an error message, and can't be put in order.
+                (None, Some(_)) if self.is_resumed && !self.has_numbered_event => {
+                    self.fault = Some(Code::ForeignAnswer);
+                    break;
+                }
+                (None, _) => self.has_unnumbered_tail = true,
             }
             events.extend_from_slice(&event.bytes);
             self.history.events += 1;
@@ -284,6 +307,16 @@
         is_whole
     }
 
+    /// Returns whether the end of the stream can be believed. An upstream that resumes it and sends
+    /// no event may have failed, unless a second one does the same.
+    fn is_end_confirmed(&mut self) -> bool {
+        let is_empty = self.is_resumed && self.has_begun() && !self.has_numbered_event;
+        match self.last_event {
+            Some(last) if is_empty => self.ended_after.replace(last) == Some(last),
+            Some(_) | None => true,
+        }
+    }
+
     /// Records the end of a stream that the upstream completed, and returns the bytes
     /// after its last event.
     fn end(&mut self) -> Option<Result<Bytes, Truncated>> {
@@ -321,7 +354,10 @@
     /// moved.
     fn reserve(&self) -> Option<Target> {
         let upstream = &self.exchange.as_ref()?.record.upstream.id;
-        attempt::reserve(&self.state, &self.job, &self.history, upstream)
+        match self.has_unnumbered_tail {
+            true => None,
+            false => attempt::reserve(&self.state, &self.job, &self.history, upstream),
+        }
     }
 
     /// Closes the connection to the current upstream, so that the request doesn't run
@@ -346,40 +382,87 @@
         let upstream = self.disconnect(code)?;
         let retry =
             attempt::handle_loss(&self.state, &self.job, &mut self.history, &upstream, code).await;
-        if retry.is_err() {
+        if retry.is_err() || self.has_unnumbered_tail {
             return Err(self.fail(code));
         }
         self.restart(&upstream, None).await
     }
 
-    /// Sends the request again, to continue after the last forwarded event. `next` is a
-    /// target that is already reserved.
+    /// Sends the request again, to continue after the last forwarded event, until a response can
+    /// continue the stream. `next` is a target that is already reserved.
     async fn restart(
         &mut self,
         upstream: &ident::Upstream,
-        next: Option<Target>,
+        mut next: Option<Target>,
     ) -> Result<(), Truncated> {
         // Drops the bytes of an incomplete event of the previous upstream.
         self.splitter = Splitter::default();
         self.is_resumed = true;
+        self.has_numbered_event = false;
         self.limit_factor = 1;
         let (state, job) = (self.state.clone(), self.job.clone());
-        let exchange = attempt::send(&state, &job, &mut self.history, next, self.last_event).await;
-        match exchange {
-            Ok(exchange) if exchange.parts.status.is_success() => {
-                info!(id = self.job.id, from = %upstream,
-                    to = %exchange.record.upstream.id, last_event = self.last_event,
-                    "request: resumed");
-                if !self.has_begun() {
-                    // Nothing of the previous response was forwarded.
-                    self.head = exchange.parts.clone();
+        loop {
+            let exchange = attempt::send(
+                &state,
+                &job,
+                &mut self.history,
+                next.take(),
+                self.last_event,
+            )
+            .await;
+            let exchange = match exchange {
+                Ok(exchange) if self.can_continue_with(&exchange.parts) => exchange,
+                Ok(exchange) => {
+                    self.leave(exchange)?;
+                    continue;
                 }
-                self.exchange = Some(exchange);
-                Ok(())
+                Err(refusal) => return Err(self.fail(refusal.code)),
+            };
+            info!(id = self.job.id, from = %upstream,
+                to = %exchange.record.upstream.id, last_event = self.last_event,
+                "request: resumed");
+            if !self.has_begun() {
+                // Nothing of the previous response was forwarded.
+                self.head = exchange.parts.clone();
             }
-            Ok(_) => Err(self.fail(Code::UpstreamFailed)),
-            Err(refusal) => Err(self.fail(refusal.code)),
+            self.exchange = Some(exchange);
+            return Ok(());
+        }
+    }
+
+    /// Returns whether the body of a response can follow what was forwarded. That of a failure, or
+    /// of another type of content, isn't a part of the stream.
+    fn can_continue_with(&self, response: &Parts) -> bool {
+        if !self.has_begun() {
+            return response.status.is_success();
+        }
+        let begun = Content::of(&self.head.headers).unwrap_or(Content::Events);
+        let content = Content::of(&response.headers);
+        response.status == self.head.status && content.is_none_or(|it| it == begun)
+    }
+
+    /// Leaves an upstream whose response can't continue the stream. Fails if the request may not be
+    /// sent again.
+    fn leave(&mut self, exchange: Exchange) -> Result<(), Truncated> {
+        let status = exchange.parts.status;
+        let upstream = exchange.record.upstream.id.clone();
+        info!(id = self.job.id, %upstream, status = status.as_u16(), events = self.history.events,
+            "request: response can't continue the stream");
+        let observation = match status {
+            _ if exchange.lease.is_none() || status.is_client_error() => None,
+            _ if status.is_server_error() => Some(Observation::Failed),
+            _ => Some(Observation::Lost),
+        };
+        if let Some(observation) = observation {
+            attempt::record_observation(&self.state, &upstream, observation);
+        }
+        match self.history.host {
+            Some(host) => self.history.tried_hosts.push(host),
+            None => self.history.tried.push(upstream),
         }
+        let code = Code::UpstreamFailed;
+        attempt::check_repeat(&self.state, &self.job, &self.history, code)
+            .map_err(|_| self.fail(code))
     }
 
     /// Records that the stream ends early, and returns the error for the caller's
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -95,6 +95,18 @@
         host
     }
 
+    /// Starts a gateway as [`Self::start`] does, whose route lets a request run at three upstreams.
+    pub async fn start_with_three_attempts(kind: Kind, upstreams: &[&Upstream]) -> Self {
+        let options = Options::parse(SETTINGS).unwrap();
+        let store = Store {
+            extra_attempts: 1,
+            ..Store::default()
+        };
+        let host = Self::run(options, Some(kind), listed(upstreams), Arc::new(store)).await;
+        host.ready().await;
+        host
+    }
+
     /// Starts gateways that know each other, each on a loopback address of its own.
     pub async fn start_fleet(count: u8, kind: Kind, upstreams: &[&Upstream]) -> Vec<Self> {
         let network = Network::free();
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -9,6 +9,7 @@
 
 mod brittle;
 mod caller;
+mod continuation;
 mod crashing_segments;
 #[path = "../truncation/cut.rs"]
 mod cut;
--- a/tests/gateway_path/store.rs
+++ b/tests/gateway_path/store.rs
@@ -48,6 +48,8 @@
     pub changed: Notify,
     /// Cached prompt segments that engines list, by address.
     pub cached: Mutex<BTreeMap<SocketAddr, BTreeSet<u64>>>,
+    /// Number of upstreams beyond two at which the route lets a request run.
+    pub extra_attempts: u32,
 }
 
 /// Returns access to a store with a route of a kind, if it has a route table.
@@ -84,7 +86,9 @@
             let store = store.clone();
             move |key, value| {
                 let upstream = lock(&store.upstreams).get(key).cloned();
-                let table = kind.map(|kind| Entry::Table(Box::new(route_table(kind, value))));
+                let attempts = 2 + store.extra_attempts;
+                let table = kind.map(|kind| route_table(kind, value, attempts));
+                let table = table.map(|table| Entry::Table(Box::new(table)));
                 Ok(upstream.map(Entry::Upstream).or(table))
             }
         }),
@@ -174,7 +178,7 @@
 /// Keys and their workspaces.
 const KEYS: [(&str, &str); 2] = [("k1", "school"), ("k2", "club")];
 
-fn route_table(kind: Kind, value: &[u8]) -> Table {
+fn route_table(kind: Kind, value: &[u8], max_attempts: u32) -> Table {
     let has_keys = !value.ends_with(b"without keys");
     let route = table::Route {
         name: "r1".to_owned(),
@@ -185,7 +189,7 @@
         objective: Duration::from_millis(100),
         max_event_gap: Some(Duration::from_millis(100)),
         priority: 0,
-        max_attempts: 2,
+        max_attempts,
         is_public: false,
         is_sticky: kind.is_stream(),
         backends: vec![table::Backend {
