Tell all hosts of a small fleet which version began a stream

A host told two others, so at the one that was left 7 of 14 were known, and those that started again found 13 of 48 by asking it.

Now all hosts of a fleet of up to 16 are told, and all are asked: in a zone where others have just started, the survivor may rank last. Larger fleets do as before, as a message to each host for each stream would cost 57 KB/s a host at the size to design for.

Ruled out: that the survivor wasn't asked (it lacked half of its own callers' streams), and that a silent host alone made others refuse (two versions were in service).

--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -24,9 +24,13 @@
 /// Maximum number of streams. With more, those recorded first are forgotten.
 const MAX_STREAMS: usize = 32_768;
 
-/// Number of hosts that are told which version began a stream.
+/// Number of hosts that are told which version began a stream, in a large fleet.
 const WITNESSES: usize = 2;
 
+/// Maximum number of other hosts that are all told, and all asked. Most of a small fleet may be
+/// lost at once, and a message to each host costs little there.
+const MAX_ALL: usize = 15;
+
 /// Number of hosts per zone that are asked. One more than are told in a zone, as the
 /// host that began the stream may rank first there.
 const ASKED_PER_ZONE: usize = 2;
@@ -105,15 +109,18 @@
     }
 }
 
-/// Returns the hosts to tell about a stream: one of `zone`, to which its caller is most
-/// likely to return, and one of another zone, in case `zone` is lost. `hosts` are the
-/// other hosts with their zones.
+/// Returns the hosts to tell about a stream: all of a small fleet, else one of `zone`, to which
+/// its caller is most likely to return, and one of another zone, in case `zone` is lost. `hosts`
+/// are the other hosts with their zones.
 pub fn witnesses<'a>(
     key: u64,
     zone: &ident::Zone,
     hosts: impl Iterator<Item = (Ipv4Addr, &'a ident::Zone)>,
 ) -> Vec<Ipv4Addr> {
     let mut ranked: Vec<_> = hosts.collect();
+    if ranked.len() <= MAX_ALL {
+        return ranked.into_iter().map(|(host, _)| host).collect();
+    }
     ranked.sort_by_key(|(host, _)| std::cmp::Reverse(score(key, *host)));
     let local = ranked.iter().find(|(_, other)| *other == zone);
     let remote = ranked.iter().find(|(_, other)| *other != zone);
@@ -124,12 +131,16 @@
     chosen
 }
 
-/// Returns the hosts to ask about a stream that any other host may have begun: those of
-/// each zone that hosts choose first as [`witnesses`].
+/// Returns the hosts to ask about a stream that any other host may have begun: all of a small
+/// fleet, else those of each zone that hosts choose first as [`witnesses`].
 pub fn witness_candidates<'a>(
     key: u64,
     hosts: impl Iterator<Item = (Ipv4Addr, &'a ident::Zone)>,
 ) -> Vec<Ipv4Addr> {
+    let hosts: Vec<_> = hosts.collect();
+    if hosts.len() <= MAX_ALL {
+        return hosts.into_iter().map(|(host, _)| host).collect();
+    }
     let mut zones: BTreeMap<&ident::Zone, Vec<Ipv4Addr>> = BTreeMap::new();
     for (host, zone) in hosts {
         zones.entry(zone).or_default().push(host);
