Decide by the store, not by silent hosts, which version can have begun a stream

A host that no other could tell which version began a stream refused it while any host that it had heard in the last minute was silent, as it might be cut off itself. In a fleet of hundreds one nearly always is. A host that had just started refused streams for three time limits, also where others knew that there had been one version only.

Now the host reads the store once for all that wait, within 250 ms: a stream began at an upstream that was listed when its caller came back. A host that starts asks one that has been up for longer which versions were listed (/versions; older builds answer 404). Its answer counts up to the position of the host's own first read. Versions that may have come and gone between two full reads 2 s apart, or in another era, aren't taken to be known.

versions::the_only_version_is_not_assumed_while_a_host_that_may_know_better_is_unreachable expected a refusal where a host was lost and the store could be read. That refusal protected nothing, as the store lists what the lost host knew. Its replacement expects the stream there, and a refusal once the store can't be read, which the old test didn't play.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod head_limit;
 pub mod headers;
 pub mod health;
+pub mod history;
 pub mod job;
 pub mod join;
 pub mod limit;
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -30,6 +30,7 @@
 use crate::gateway::connection::set_tcp_options;
 use crate::gateway::forward;
 use crate::gateway::handoff::Handoff;
+use crate::gateway::history;
 use crate::gateway::listen::RequestGuard;
 use crate::gateway::metrics::Gauges;
 use crate::gateway::resume;
@@ -125,6 +126,7 @@
         (&Method::POST, wire::PATH) => serve_follower(state, request).await,
         (&Method::POST, warmup::SNAPSHOT_PATH) => serve_placements(state),
         (&Method::POST, resume::PATH) => serve_origin(state, request).await,
+        (&Method::POST, history::PATH) => serve_history(state),
         _ => respond(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
@@ -192,6 +194,11 @@
     respond_encoded(&origins.version(Instant::now(), key))
 }
 
+/// Returns which versions were listed lately, for a host that starts.
+fn serve_history(state: &State) -> Response<Full<Bytes>> {
+    respond_encoded(&history::own(state))
+}
+
 /// Decodes another host's request. Fails with the response to an invalid one.
 async fn decode<T: DeserializeOwned>(
     request: Request<Incoming>,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -385,6 +385,20 @@
         best.map(|(address, _)| *address)
     }
 
+    /// Returns a live host that has been up for long enough to know the others and isn't in `except`,
+    /// preferably one of `zone`.
+    pub fn settled_peer(
+        &self,
+        now: Instant,
+        zone: &ident::Zone,
+        except: &BTreeSet<Ipv4Addr>,
+    ) -> Option<Ipv4Addr> {
+        let settled = self.live(now).filter(|(_, peer)| peer.fleet_size.is_some());
+        let others = settled.filter(|(address, _)| !except.contains(address));
+        let best = others.max_by_key(|(_, peer)| peer.zone == *zone);
+        best.map(|(address, _)| *address)
+    }
+
     /// Returns the time since the last message from any host of a zone; `None` if there
     /// was none.
     pub fn zone_silence(&self, now: Instant, zone: &ident::Zone) -> Option<Duration> {
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -56,6 +56,9 @@
 /// outage the store never responds to calls made during it, but to new ones at once.
 const LIST_HEDGE_DELAY: Duration = Duration::from_millis(500);
 
+/// Time limit of a read that confirms this host's copy. A caller waits for it.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Wait time that a follower asks for.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -258,6 +261,31 @@
     Ok(())
 }
 
+/// Returns whether this host's copy is known to be that of a time, or later. Reads the store if it
+/// isn't yet, once for all requests that wait.
+pub async fn confirm(state: &Arc<State>, at: boot::Instant) -> bool {
+    let confirmed = async {
+        let _turn = state.confirming.lock().await;
+        let known = {
+            let mirror = lock(&state.mirror);
+            match mirror.is_as_of(at) {
+                true => return Ok(()),
+                false => mirror.position(),
+            }
+        };
+        state.meter.store_read("confirm");
+        list(state, known).await
+    };
+    let result = timeout(CONFIRM_TIMEOUT, confirmed).await;
+    match result.unwrap_or(Err(Fault::Timeout(CONFIRM_TIMEOUT))) {
+        Ok(()) => true,
+        Err(fault) => {
+            info!(%fault, "store: can't confirm the copy");
+            false
+        }
+    }
+}
+
 /// Reads all items, and returns them with the start time of the read that succeeded.
 ///
 /// Starts one more read after each delay in which none has a response, and fails when
@@ -362,11 +390,12 @@
     change: impl FnOnce(&mut mirror::Table) -> Vec<mirror::Event>,
 ) {
     let now = boot::Instant::now();
-    let (changes, old, position, retained) = {
+    let (changes, old, position, retained, has_gap) = {
         let mut mirror = lock(&state.mirror);
-        let old = mirror.position();
+        let (old, gaps) = (mirror.position(), mirror.gaps());
         let changes = change(&mut mirror);
-        (changes, old, mirror.position(), mirror.retained())
+        let has_gap = mirror.gaps() != gaps;
+        (changes, old, mirror.position(), mirror.retained(), has_gap)
     };
     let age = now.since(as_of);
     if position.era != old.era && old != Position::default() {
@@ -380,6 +409,9 @@
             "store: content of a new era"
         );
     }
+    if has_gap {
+        Arc::make_mut(&mut lock(&state.view)).record_gap(now, position);
+    }
     if !changes.is_empty() {
         let restored_by = now + lock(&state.outage).settling(now);
         let mut view = lock(&state.view);
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -1,7 +1,5 @@
 //! Finds the version at which a stream that a caller resumes has to continue.
 
-use std::collections::BTreeSet;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +15,7 @@
 use crate::gateway::follow;
 use crate::gateway::job::Job;
 use crate::gateway::origin;
-use crate::gateway::peers::Peer;
+use crate::gateway::reader;
 use crate::gateway::state::State;
 use crate::gateway::table::Kind;
 use crate::ident;
@@ -94,7 +92,7 @@
 
 async fn find(state: &Arc<State>, job: &Job) -> (Option<ident::Version>, Evidence) {
     let Some(origin) = &job.origin else {
-        return only_version(state, job);
+        return only_version(state, job).await;
     };
     let key = origin::key(origin);
     let known = lock(&state.origins).version(Instant::now(), key).cloned();
@@ -106,19 +104,28 @@
             lock(&state.origins).record(Instant::now(), key, &version);
             (Some(version), Evidence::Peer)
         }
-        Reply::Unreachable => (None, Evidence::Nothing),
-        Reply::Unknown => only_version(state, job),
+        Reply::Unreachable | Reply::Unknown => only_version(state, job).await,
     }
 }
 
 /// Returns the version of the service, if no stream of another one can be left.
-fn only_version(state: &State, job: &Job) -> (Option<ident::Version>, Evidence) {
-    let view = state.view();
+///
+/// The stream began before the caller came back, at an upstream that was listed by then. So a copy
+/// of the store as of now shows its version too, which one of a moment ago may lack: that version
+/// may have joined since, and this host been cut off or suspended.
+async fn only_version(state: &Arc<State>, job: &Job) -> (Option<ident::Version>, Evidence) {
     let lookback = job.route.timeout * LOOKBACK_FACTOR;
-    match view.only_version(boot::Instant::now(), &job.service, lookback) {
-        Some(version) => (Some(version.clone()), Evidence::OnlyVersion),
-        None => (None, Evidence::Nothing),
+    let now = boot::Instant::now();
+    let find = || {
+        let view = state.view();
+        let version = view.only_version(now, &job.service, lookback);
+        version.cloned()
+    };
+    let nothing = (None, Evidence::Nothing);
+    if find().is_none() || !reader::confirm(state, now).await {
+        return nothing;
     }
+    find().map_or(nothing, |version| (Some(version), Evidence::OnlyVersion))
 }
 
 /// What other hosts know of a stream.
@@ -128,22 +135,15 @@
     Version(ident::Version),
     /// All hosts that might know were asked, and none does.
     Unknown,
-    /// A host that might know can't be reached. This one may be cut off, and not know of
-    /// a version that began since.
+    /// A host that might know can't be reached.
     Unreachable,
 }
 
 /// Asks the hosts that may have been told of a stream which version began it.
 async fn ask_peers(state: &State, key: u64) -> Reply {
-    let (hosts, is_any_silent) = {
-        let now = Instant::now();
+    let hosts = {
         let peers = lock(&state.peers);
-        let addressable: BTreeSet<_> = peers.addressable(now).map(|(host, _)| host).collect();
-        let is_silent =
-            |(host, peer): (&Ipv4Addr, &Peer)| !peer.is_leaving && !addressable.contains(host);
-        let is_any_silent = peers.sharing_peers(now).any(is_silent);
-        let hosts = origin::witness_candidates(key, peers.addressable(now));
-        (hosts, is_any_silent)
+        origin::witness_candidates(key, peers.addressable(Instant::now()))
     };
     let port = state.options.host.peer.port();
     let replies = hosts.into_iter().map(|host| async move {
@@ -160,10 +160,7 @@
     });
     let mut replies: FuturesUnordered<_> = replies.collect();
     let all = async {
-        let mut result = match is_any_silent {
-            true => Reply::Unreachable,
-            false => Reply::Unknown,
-        };
+        let mut result = Reply::Unknown;
         while let Some(reply) = replies.next().await {
             match reply {
                 Reply::Version(_) => return reply,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -21,6 +21,7 @@
 
 use crate::gateway::gossip;
 use crate::gateway::headers::Names;
+use crate::gateway::history;
 use crate::gateway::listen;
 use crate::gateway::operator;
 use crate::gateway::operator::Audience;
@@ -128,6 +129,7 @@
     tokio::spawn(reader::catch_up(state.clone()));
     tokio::spawn(reader::join(state.clone()));
     tokio::spawn(warmup::run(state.clone()));
+    tokio::spawn(history::run(state.clone()));
     tokio::spawn(reach::run(state.clone()));
     tokio::spawn(sweep(state.clone()));
     Ok(Addresses {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -114,6 +114,8 @@
     pub buffers: buffer::Budget,
     /// Outage of the store, and the recovery period after it.
     pub outage: Mutex<outage::Outage>,
+    /// Held by the task that reads the store to confirm this host's copy.
+    pub confirming: tokio::sync::Mutex<()>,
     /// Notified when a slot became free or the view changed.
     pub capacity_changed: Notify,
     /// Notified when the mirror's position advanced.
@@ -188,6 +190,7 @@
             pool: connection::Pool::default(),
             buffers: buffer::Budget::default(),
             outage: Mutex::default(),
+            confirming: tokio::sync::Mutex::default(),
             capacity_changed: Notify::new(),
             store_advanced: Notify::new(),
             store_behind: Notify::new(),
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -6,11 +6,15 @@
 use std::time::Duration;
 
 use crate::boot;
+use crate::gateway::history;
+use crate::gateway::history::History;
 use crate::gateway::source::Entry;
 use crate::gateway::table::Table;
 use crate::gateway::upstream::Record;
 use crate::gateway::upstream::Upstream;
 use crate::ident;
+use crate::log::millis;
+use crate::mirror::Position;
 
 /// How long after an outage of the store an upstream's expired entry may be restored.
 /// The platform states about two seconds.
@@ -27,8 +31,10 @@
     table_key: Option<String>,
     upstreams: BTreeMap<String, Arc<Record>>,
     evacuated: BTreeMap<String, ident::Zone>,
-    /// When the first item was inserted.
-    started_at: Option<boot::Instant>,
+    /// Since when no change of the store was missed.
+    covered_since: Option<boot::Instant>,
+    /// The store's position then.
+    covered_from: Position,
     /// When a version of a service was last listed, for versions of upstreams that were
     /// replaced or removed.
     past_versions: BTreeMap<(ident::Service, ident::Version), boot::Instant>,
@@ -70,15 +76,14 @@
     }
 
     /// Returns the version that all upstreams of a service run, if they have run no other
-    /// one within `lookback`. `None` if this view is younger than that.
+    /// one within `lookback`. `None` if changes before that may have been missed.
     pub fn only_version(
         &self,
         now: boot::Instant,
         service: &ident::Service,
         lookback: Duration,
     ) -> Option<&ident::Version> {
-        let started_at = self.started_at?;
-        if now.since(started_at) < lookback {
+        if self.covered(now) < lookback {
             return None;
         }
         let past = self.past_versions.iter();
@@ -90,6 +95,65 @@
         versions.is_empty().then_some(version)
     }
 
+    /// Returns how long no change of the store was missed; zero before the first read.
+    pub fn covered(&self, now: boot::Instant) -> Duration {
+        self.covered_since
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Records that changes before now, when the store is at a position, may have been missed.
+    pub fn record_gap(&mut self, now: boot::Instant, position: Position) {
+        self.covered_since = Some(now);
+        self.covered_from = position;
+    }
+
+    /// Returns which versions were listed lately, for another host. `position` is that of the copy
+    /// of the store.
+    pub fn history(&self, now: boot::Instant, position: Position) -> History {
+        let listed = self.upstreams.values().map(|record| {
+            let upstream = &record.upstream;
+            (&upstream.service, &upstream.version, Duration::ZERO)
+        });
+        let past = self.past_versions.iter();
+        let past = past.map(|((service, version), at)| (service, version, now.since(*at)));
+        let mut versions: BTreeMap<_, Duration> = BTreeMap::new();
+        for (service, version, since) in past.chain(listed) {
+            versions.insert((service, version), since);
+        }
+        let versions = versions.into_iter().map(|((service, version), since)| {
+            let since_ms = millis(since);
+            history::Version {
+                service: service.clone(),
+                version: version.clone(),
+                since_ms,
+            }
+        });
+        History {
+            covered_ms: millis(self.covered(now)),
+            position,
+            versions: versions.collect(),
+        }
+    }
+
+    /// Adds the history of another host to that of this view. Returns whether it reaches further
+    /// back, and up to the beginning of this one.
+    pub fn extend_history(&mut self, now: boot::Instant, history: &History) -> bool {
+        let is_contiguous = history.position >= self.covered_from;
+        let covered = Duration::from_millis(history.covered_ms);
+        let extends = |since: boot::Instant| is_contiguous && now.before(covered) < since;
+        if !self.covered_since.is_some_and(extends) {
+            return false;
+        }
+        self.covered_since = Some(now.before(covered));
+        for it in &history.versions {
+            let key = (it.service.clone(), it.version.clone());
+            let at = now.before(Duration::from_millis(it.since_ms));
+            let known = self.past_versions.entry(key).or_insert(at);
+            *known = at.max(*known);
+        }
+        true
+    }
+
     /// Records that an upstream's version was listed until now.
     fn retire_version(&mut self, now: boot::Instant, upstream: &Upstream) {
         let version = (upstream.service.clone(), upstream.version.clone());
@@ -106,7 +170,7 @@
         key: &str,
         entry: Entry,
     ) -> Option<ident::Upstream> {
-        self.started_at.get_or_insert(now);
+        self.covered_since.get_or_insert(now);
         match entry {
             Entry::Table(table) => {
                 self.table = Some(Arc::new(*table));
--- a/src/mirror/table.rs
+++ b/src/mirror/table.rs
@@ -21,6 +21,10 @@
 /// further behind reads all items.
 const MAX_LOG_EVENTS: usize = 1_024;
 
+/// The time between two reads from which on changes may have been missed: an upstream is listed
+/// for longer, as it drains before it leaves.
+const MAX_GAP: Duration = Duration::from_secs(2);
+
 /// A point in the history of the store. A later era is later at any revision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Position {
@@ -65,6 +69,8 @@
     /// The log contains every change after this revision of the era.
     log_start: u64,
     confirmed_at: Option<boot::Instant>,
+    /// Number of full reads before which changes may have been missed.
+    gaps: u64,
 }
 
 impl Table {
@@ -117,6 +123,17 @@
             .map(|confirmed_at| now.since(confirmed_at))
     }
 
+    /// Returns whether the items are known to be those that the store held at a time, or later.
+    pub fn is_as_of(&self, at: boot::Instant) -> bool {
+        self.confirmed_at >= Some(at)
+    }
+
+    /// Returns how often changes may have been missed, as an item may have come and gone between two
+    /// full reads. The first read counts.
+    pub fn gaps(&self) -> u64 {
+        self.gaps
+    }
+
     /// Replaces all items by the result of a full read that started at `as_of`, and
     /// returns the changes of what is in effect. A read of an earlier position changes
     /// nothing.
@@ -132,6 +149,13 @@
         if position < self.position {
             return Vec::new();
         }
+        let seen_at = self
+            .confirmed_at
+            .filter(|_| position.era == self.position.era);
+        let is_unchanged = position == self.position;
+        if !is_unchanged && seen_at.is_none_or(|at| as_of.since(at) > MAX_GAP) {
+            self.gaps += 1;
+        }
         let before = self.items();
         match position.era > self.position.era && self.confirmed_at.is_some() {
             true => self.retained.retain_lost(&before, &items, as_of, stamp),
--- a/tests/gateway_origin.rs
+++ b/tests/gateway_origin.rs
@@ -20,6 +20,7 @@
 use masticmoor::gateway::upstream::Upstream;
 use masticmoor::gateway::view::View;
 use masticmoor::ident;
+use masticmoor::mirror::Position;
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -162,6 +163,10 @@
     assert_eq!(decoded, streams);
 }
 
+fn position(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn at(seconds: u64) -> boot::Instant {
     boot::Instant::at(Duration::from_secs(seconds))
 }
@@ -219,6 +224,43 @@
     assert_eq!(only(&view, 377, lookback).as_deref(), Some("v3"));
 }
 
+/// Guards against a host that starts and takes the only version that it sees for the one that began
+/// a stream, and against one that refuses streams which only that version can have begun.
+#[test]
+fn a_host_that_starts_learns_which_versions_there_were() {
+    let service = "a".into();
+    let only = |view: &View, now: u64, lookback| {
+        let lookback = Duration::from_secs(lookback);
+        let version = view.only_version(at(now), &service, lookback);
+        version.map(|it| it.as_str().to_owned())
+    };
+    let mut old = View::default();
+    old.insert(at(100), "u/1", upstream("u1", "v1"));
+    old.insert(at(110), "u/2", upstream("u2", "v2"));
+    old.remove(at(150), "u/2", at(150));
+    let mut new = View::default();
+    new.insert(at(200), "u/1", upstream("u1", "v1"));
+    assert_eq!(only(&new, 201, 36), None);
+    new.record_gap(at(200), position(7));
+    // A copy from before this host's own, so that changes between the two are unknown.
+    let behind = old.history(at(201), position(6));
+    assert!(!new.extend_history(at(201), &behind));
+    assert_eq!(only(&new, 201, 36), None);
+    let history = old.history(at(201), position(7));
+    assert!(new.extend_history(at(201), &history));
+    assert_eq!(only(&new, 201, 36).as_deref(), Some("v1"));
+    assert_eq!(only(&new, 201, 60), None);
+    assert_eq!(only(&new, 201, 102), None);
+    // A host that knows less adds nothing.
+    let mut other = View::default();
+    other.insert(at(190), "u/1", upstream("u1", "v1"));
+    let short = other.history(at(202), position(9));
+    assert!(!new.extend_history(at(202), &short));
+    // It missed changes itself.
+    new.record_gap(at(203), position(9));
+    assert_eq!(only(&new, 204, 36), None);
+}
+
 #[tokio::test(start_paused = true)]
 async fn hosts_of_other_zones_that_others_hear_from_are_addressable() {
     let address = |last| Ipv4Addr::new(10, 0, 0, last);
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -327,6 +327,41 @@
         self.publish(added.chain(deleted)).await;
     }
 
+    /// Adds an upstream to the store of a gateway whose watches hang, which therefore doesn't see
+    /// it.
+    pub async fn add_upstream_unseen(&self, upstream: &Upstream) {
+        self.store.is_watch_silent.store(true, Ordering::Relaxed);
+        // Ends the watch that is waiting.
+        self.store.changed.notify_waiters();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let mut changes = lock(&self.store.changes);
+        for (key, entry) in listed(&[upstream]) {
+            let revision = last_revision(&changes) + 1;
+            lock(&self.store.upstreams).insert(key.clone(), entry);
+            changes.push(Event {
+                key,
+                value: Some(Bytes::new()),
+                revision,
+            });
+        }
+    }
+
+    /// Kills the gateway with a number in its fleet, and starts it again with other upstreams.
+    pub async fn restart(&self, number: u8, kind: Kind, upstreams: &[&Upstream]) -> Self {
+        self.kill().await;
+        let IpAddr::V4(address) = self.peer.ip() else {
+            panic!("not an IPv4 address");
+        };
+        let [a, b, c, _] = address.octets();
+        let network = Network {
+            prefix: [a, b, c],
+            port: self.peer.port(),
+        };
+        let host = Self::join(network, number, kind, upstreams, Arc::default()).await;
+        host.ready().await;
+        host
+    }
+
     /// Publishes changes of the store's items, and waits until the gateway has received
     /// them.
     async fn publish(&self, items: impl IntoIterator<Item = (String, Option<Bytes>)>) {
--- a/tests/mirror_table.rs
+++ b/tests/mirror_table.rs
@@ -203,3 +203,27 @@
         }
     }
 }
+
+/// Guards against upstreams that came and went between two full reads.
+#[test]
+fn changes_may_be_missed_between_full_reads_that_are_far_apart() {
+    let mut table = Table::default();
+    let read = |table: &mut Table, era, revision, millis| {
+        let position = Position { era, revision };
+        table.replace(items(&[("a", 1, "1")]), position, at(millis), unstamped);
+        table.gaps()
+    };
+    assert_eq!(table.gaps(), 0);
+    assert_eq!(read(&mut table, 0, 2, 1_000), 1);
+    assert!(table.is_as_of(at(1_000)) && !table.is_as_of(at(1_001)));
+    assert_eq!(read(&mut table, 0, 4, 2_500), 1);
+    table.apply(Vec::new(), position(6), at(20_000), unstamped);
+    assert_eq!(table.gaps(), 1);
+    // Nothing has changed since.
+    assert_eq!(read(&mut table, 0, 6, 40_000), 1);
+    assert_eq!(read(&mut table, 0, 7, 45_000), 2);
+    // What was written in an era may be lost in the next.
+    assert_eq!(read(&mut table, 1, 3, 45_100), 3);
+    // An earlier position changes nothing.
+    assert_eq!(read(&mut table, 0, 9, 60_000), 3);
+}
