Let many hosts forward a zone's summary, each one datagram of it

A summary of a zone has about 24 datagrams (loads in 8, prompts in 16). A relay sent all of them to one host of each other zone, which forwarded each to 48 hosts: 1,150 datagrams, 1 MB, at a link of 10 Mbit/s. What came last was lost, and that is where prompts are held.

Now each datagram goes to another host, which forwards 48 of them, and hosts that others don't hear get none. The bytes are the same.

Ruled out: the queue of 48 updates and the 512 of a summary (a zone makes fewer than 444 a second).

gateway_relay::check_spread expects that no host gets two of a summary's datagrams; all went to one before.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -160,7 +160,7 @@
         remote,
         starting,
         summary,
-    } = recipients;
+    } = &recipients;
     let count = direct.len() + remote.len() + starting.len() + summary.len();
     let placements = lock(&state.prefix_cache).take_updates();
     let recent = relay.record_own(&placements);
@@ -168,7 +168,7 @@
     if let Some(bytes) = encode(state, now, &mut full) {
         let mut encoded = Encoded::new(&bytes);
         for address in direct {
-            send_to(state, socket, address, &mut encoded).await;
+            send_to(state, socket, *address, &mut encoded).await;
         }
     }
     if !remote.is_empty()
@@ -180,24 +180,25 @@
     {
         let mut encoded = Encoded::new(&bytes);
         for address in remote {
-            send_to(state, socket, address, &mut encoded).await;
+            send_to(state, socket, *address, &mut encoded).await;
         }
     }
     for (address, zone) in starting {
-        let mut message = message(state, now, round, Vec::new(), Selection::Zone(&zone));
+        let mut message = message(state, now, round, Vec::new(), Selection::Zone(zone));
         if !is_settling {
             // The zone's summary already contains the loads.
             message.report.loads.clear();
         }
         if let Some(bytes) = encode(state, now, &mut message) {
-            send_to(state, socket, address, &mut Encoded::new(&bytes)).await;
+            send_to(state, socket, *address, &mut Encoded::new(&bytes)).await;
         }
     }
     if !summary.is_empty() {
-        for bytes in encode_summary(state, now, round, relay.take_placements()) {
-            let mut encoded = Encoded::new(&bytes);
-            for address in &summary {
-                send_to(state, socket, *address, &mut encoded).await;
+        let datagrams = encode_summary(state, now, round, relay.take_placements());
+        for (index, bytes) in datagrams.iter().enumerate() {
+            let mut encoded = Encoded::new(bytes);
+            for address in recipients.summary_hosts(index) {
+                send_to(state, socket, address, &mut encoded).await;
             }
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,8 +4,9 @@
 //! In a small fleet each host sends its message to every other host in each round. In
 //! a larger one it sends to hosts of other zones in every fifth round only. In a very
 //! large one it sends to its own zone, and two relays of the zone each send a summary
-//! to one host of every other zone, which forwards it there. A host that has just
-//! started sends to all hosts that it finds.
+//! to every other zone: each of its datagrams to another host, which forwards it there. One
+//! host that forwarded them all would fill its link for a second, and most would be lost. A
+//! host that has just started sends to all hosts that it finds.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -34,6 +35,10 @@
 /// messages within the zone are no more frequent.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of hosts by which the recipients of a summary begin later than those of the one before,
+/// about as many as a summary has datagrams.
+const SUMMARY_STEP: usize = 23;
+
 /// Number of rounds in which each host of another zone gets one message, where zones
 /// don't exchange summaries.
 const REMOTE_ROUNDS: usize = 5;
@@ -53,8 +58,17 @@
     pub remote: Vec<Ipv4Addr>,
     /// Hosts of other zones that have just started and look for hosts of their zone.
     pub starting: Vec<(Ipv4Addr, ident::Zone)>,
-    /// Hosts of other zones that get the summary of this zone.
-    pub summary: Vec<Ipv4Addr>,
+    /// The hosts of each other zone, in the order in which they get the datagrams of this zone's
+    /// summary; empty if none is due.
+    pub summary: Vec<Vec<Ipv4Addr>>,
+}
+
+impl Recipients {
+    /// Returns the host of each other zone that gets a datagram of the summary.
+    pub fn summary_hosts(&self, datagram: usize) -> impl Iterator<Item = Ipv4Addr> {
+        let zones = self.summary.iter();
+        zones.filter_map(move |hosts| hosts.get(datagram % hosts.len().max(1)).copied())
+    }
 }
 
 /// State that a host keeps between rounds.
@@ -159,9 +173,10 @@
                 let number = self.summaries * RELAYS_PER_ZONE + rank;
                 self.summaries = self.summaries.wrapping_add(1);
                 self.summarized_at = Some(now);
-                let zones = remote.values();
-                let summary = zones.filter_map(|hosts| hosts.get(number % hosts.len().max(1)));
-                summary.copied().collect()
+                let up: BTreeSet<_> = peers.addressable(now).map(|(host, _)| host).collect();
+                let zones = remote.into_values();
+                let summary = zones.map(|hosts| in_turn(hosts, &up, number));
+                summary.collect()
             }
             Some(_) => Vec::new(),
             None => {
@@ -178,6 +193,17 @@
     }
 }
 
+/// Returns the hosts of a zone, those that are up if any is, beginning with another one for each
+/// summary.
+fn in_turn(hosts: Vec<Ipv4Addr>, up: &BTreeSet<Ipv4Addr>, summary: usize) -> Vec<Ipv4Addr> {
+    let live = hosts.iter().filter(|host| up.contains(host));
+    let live: Vec<_> = live.copied().collect();
+    let mut hosts = if live.is_empty() { hosts } else { live };
+    let first = summary.wrapping_mul(SUMMARY_STEP) % hosts.len().max(1);
+    hosts.rotate_left(first);
+    hosts
+}
+
 /// Returns whether zones exchange summaries in a fleet with this many other hosts.
 pub fn is_relayed(hosts: usize) -> bool {
     hosts >= MIN_RELAYED_FLEET
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -144,6 +144,23 @@
     }
 }
 
+/// Number of datagrams of a zone's summary: the loads of two hundred upstreams, and five hundred
+/// prompts.
+const SUMMARY_DATAGRAMS: usize = 24;
+
+/// Guards against a host that has to forward a whole summary to its zone: it would fill its link,
+/// and what comes last, where prompts are held, would be lost.
+fn check_spread(round: &Recipients) {
+    for hosts in &round.summary {
+        let zone = zone_of(hosts.first().unwrap());
+        let recipients = (0..SUMMARY_DATAGRAMS).flat_map(|it| round.summary_hosts(it));
+        let recipients: Vec<_> = recipients.filter(|it| zone_of(it) == zone).collect();
+        assert_eq!(recipients.len(), SUMMARY_DATAGRAMS);
+        let different: BTreeSet<_> = recipients.iter().collect();
+        assert_eq!(different.len(), SUMMARY_DATAGRAMS);
+    }
+}
+
 /// Whatever the size of a zone, two of its hosts send its summary to each other zone once
 /// per second, and the hosts there receive it in rotation. Otherwise traffic between zones
 /// would grow with the fleet, or some hosts would never receive a summary of other zones
@@ -162,11 +179,12 @@
             assert_eq!(round.direct.len(), usize::from(hosts) - 1);
             assert!(round.direct.iter().all(|host| zone_of(host) == it.0));
             assert!(round.remote.is_empty());
-            for recipient in round.summary {
+            for recipient in round.summary_hosts(0) {
                 senders.insert(it);
-                receivers.insert(recipient);
                 pairs.push((it.0, zone_of(&recipient)));
             }
+            receivers.extend(round.summary.iter().flatten().copied());
+            check_spread(&round);
         }
         tokio::time::advance(Duration::from_millis(500)).await;
         for round in fleet.next_round().values() {
@@ -232,8 +250,8 @@
             let sender = tables.get_mut(&address(from.0, from.1)).unwrap();
             let reports = reports(sender, now);
             // The recipient of a summary forwards it to its zone.
-            let forwarded = round.summary.iter().flat_map(|to| {
-                let zone = zone_of(to);
+            let forwarded = round.summary_hosts(0).flat_map(|to| {
+                let zone = zone_of(&to);
                 (0..HOSTS).map(move |host| address(zone, host))
             });
             for to in round.direct.iter().copied().chain(forwarded) {
