Read the store by few hosts at a start, and by one when a zone's reader is lost

And when the host that a zone follows was lost, all its followers read the whole store at once (17 reads for one reader lost in a fleet of 18).

A host that starts now copies the store from another one: a seed at first, then any that it hears. It does so until it knows whether the fleet is large and hosts of its zone, 2 s at most. If the first copy takes over 100 ms or is refused, it reads the store as before. At the first start of all, when there are no callers, the seeds alone read it. A host gives 20 full copies a second to hosts that start: where hundreds start at once most read the store, which is faster for their callers. A host that can't be followed is passed over for 3 s by all of its followers, so the next in the order takes its place with one read; after three such hosts each reads for itself.

Four tests gateway_path::readers; the_loss_of_a_reader and at_the_first_start failed before.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -3,6 +3,7 @@
 //! A follower sends its revision to a leader, waits for newer items and applies the
 //! reply to its own mirror. Replies whose content is too old count as failures.
 
+use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,6 +43,31 @@
 /// Maximum age of a copy of the store that is followed.
 pub const MAX_AGE: Duration = Duration::from_millis(2_200);
 
+/// Maximum number of full copies per second for hosts that start. Where hundreds start at once, most
+/// read the store.
+const MAX_COPIES: usize = 20;
+
+/// The full copies that a host gave to others that started.
+#[derive(Clone, Debug, Default)]
+pub struct Copies {
+    given_at: VecDeque<Instant>,
+}
+
+impl Copies {
+    /// Counts one more copy, and returns whether it may be given.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let is_recent = |at: &Instant| now.duration_since(*at) < Duration::from_secs(1);
+        while self.given_at.front().is_some_and(|at| !is_recent(at)) {
+            self.given_at.pop_front();
+        }
+        let may_give = self.given_at.len() < MAX_COPIES;
+        if may_give {
+            self.given_at.push_back(now);
+        }
+        may_give
+    }
+}
+
 /// Reason why another host could not be followed.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -39,6 +39,7 @@
 use crate::gateway::warmup;
 use crate::lock::lock;
 use crate::log::millis;
+use crate::mirror::Position;
 use crate::mirror::wire;
 use crate::mirror::wire::Content;
 
@@ -153,6 +154,10 @@
         Ok(request) => request,
         Err(response) => return response,
     };
+    let is_start = request.after == Position::default();
+    if is_start && !lock(&state.copies).take(started) {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, "too many hosts start\n");
+    }
     let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
     loop {
         let advanced = state.store_advanced.notified();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -371,6 +371,24 @@
         best.map(|(address, _, _)| *address)
     }
 
+    /// Returns any host with a copy of the store that is younger than `max_age`, one of `zone` if
+    /// there is any. `draw` is uniform in 0..1: hosts that start together choose different ones.
+    pub fn any_source(
+        &self,
+        now: Instant,
+        zone: &ident::Zone,
+        max_age: Duration,
+        draw: f64,
+    ) -> Option<Ipv4Addr> {
+        let fresh = self
+            .live(now)
+            .filter(|(_, peer)| peer.age(now).is_some_and(|age| age < max_age));
+        let (near, far): (Vec<_>, Vec<_>) = fresh.partition(|(_, peer)| peer.zone == *zone);
+        let hosts = if near.is_empty() { far } else { near };
+        let index = (draw * hosts.len() as f64) as usize;
+        hosts.get(index).map(|(address, _)| **address)
+    }
+
     /// Returns a live host that knows which upstreams hold which prompts and isn't in
     /// `except`, preferably one of `zone`.
     pub fn informed_peer(
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -2,9 +2,11 @@
 //!
 //! In a small fleet every host reads the store. In a large one a few live hosts of each
 //! zone do, those with the fastest links and the highest hash of their address, and the
-//! others follow them. A host that can't reach its source follows any host that is up
-//! to date.
+//! others follow them. A host that can't follow its reader passes it over, so that the next
+//! one takes its place, and a host that can't reach the store follows any host that is up
+//! to date. A host that starts copies the store from another one if it can.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -27,9 +29,11 @@
 use crate::gateway::join::Others;
 use crate::gateway::join::Step;
 use crate::gateway::peers;
+use crate::gateway::relay::LocalHost;
 use crate::gateway::source::Fault;
 use crate::gateway::source::Snapshot;
 use crate::gateway::source::Source;
+use crate::gateway::state;
 use crate::gateway::state::State;
 use crate::gateway::view;
 use crate::lock::lock;
@@ -76,8 +80,22 @@
 /// succession and each call to the store has a cost.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Number of hosts per zone that read the store in a large fleet.
-const READERS_PER_ZONE: usize = 1;
+/// How long a host that couldn't be followed is passed over. By then, others know whether it is
+/// live.
+const PASS_OVER_TIME: Duration = peers::LIVE_TIMEOUT;
+
+/// Number of hosts that can't be followed, one after the other, after which a host reads the store
+/// itself.
+const MAX_FOLLOW_FAILURES: u32 = 3;
+
+/// Time after a start in which a host follows any other, until it knows how large the fleet is.
+const START_TIME: Duration = Duration::from_secs(2);
+
+/// Time limit for the first copy of a host that starts. After it, the host reads the store.
+const START_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Maximum delay until a host asks again at the first start of all, when few hosts have a copy.
+const FIRST_START_DELAY: Duration = Duration::from_millis(200);
 
 /// Interval at which a host that starts looks for such messages.
 const JOIN_INTERVAL: Duration = Duration::from_millis(5);
@@ -88,11 +106,15 @@
 /// Reads the store, or follows a host that does, until the process stops.
 pub async fn run(state: Arc<State>) {
     let mut reader = Reader::default();
+    tokio::select! {
+        () = state.stop.cancelled() => return,
+        () = begin(&state) => {}
+    }
     loop {
         let step = async {
-            match reads_store(&state) {
-                true => reader.step(&state).await,
-                false => follow_reader(&state, &mut reader).await,
+            match reader.leader(&state) {
+                None => reader.step(&state).await,
+                Some(leader) => reader.follow(&state, leader).await,
             }
         };
         tokio::select! {
@@ -102,6 +124,59 @@
     }
 }
 
+/// Copies the store from other hosts when this one starts, until it knows whether the fleet is so
+/// large that few read the store, and others of its zone. Returns early if none can be followed.
+///
+/// Each read of the store has a cost, and hundreds of hosts may start in a day, or at once. At the
+/// first start of all there are no callers yet, and the seeds alone read the store.
+async fn begin(state: &Arc<State>) {
+    let first_start = state.options.gateway.first_start;
+    let local = state.address;
+    let seeds = state::seeds(&state.options);
+    let others: Vec<_> = seeds.iter().filter(|it| **it != local).copied().collect();
+    let reads_first = first_start && seeds.contains(&local);
+    if others.is_empty() || reads_first {
+        return;
+    }
+    let started = Instant::now();
+    let mut source = None;
+    while started.elapsed() < START_TIME {
+        let has_copy = lock(&state.mirror).position() != Position::default();
+        let known = {
+            let now = Instant::now();
+            let peers = lock(&state.peers);
+            let zone = &state.options.host.zone;
+            let is_zone_known = peers.live(now).any(|(_, peer)| peer.zone == *zone);
+            if has_copy && is_zone_known && is_large_fleet(&peers, now) {
+                return;
+            }
+            peers.any_source(now, zone, MAX_AGE, state.random_fraction())
+        };
+        let index = (state.random_fraction() * others.len() as f64) as usize;
+        let Some(leader) = source.or(known).or(others.get(index).copied()) else {
+            return;
+        };
+        let left = START_TIME.saturating_sub(started.elapsed());
+        let followed = match has_copy {
+            true => follow(state, leader, FOLLOW_WAIT.min(left)).await,
+            false => timeout(START_TIMEOUT, follow(state, leader, Duration::ZERO))
+                .await
+                .unwrap_or(Err(follow::Fault::Timeout(START_TIMEOUT))),
+        };
+        match followed {
+            Ok(()) => source = Some(leader),
+            Err(lost) => {
+                info!(%leader, %lost, "peers: can't copy the store from a host");
+                if !first_start {
+                    return;
+                }
+                source = None;
+                tokio::time::sleep(FIRST_START_DELAY.mul_f64(state.random_fraction())).await;
+            }
+        }
+    }
+}
+
 /// Follows other hosts while this host's copy is behind theirs or too old, besides its
 /// regular source, until the process stops.
 pub async fn catch_up(state: Arc<State>) {
@@ -161,18 +236,21 @@
     peers.sharer_count(now) > MAX_SMALL_FLEET
 }
 
-/// Returns whether this host reads the store itself.
-fn reads_store(state: &State) -> bool {
-    let now = Instant::now();
-    let peers = lock(&state.peers);
-    if !is_large_fleet(&peers, now) {
-        return true;
-    }
-    let own_rank = rank(state.live_options().link_mbps, &state.address);
-    let zone = &state.options.host.zone;
-    let hosts = peers.live(now).filter(|(_, peer)| peer.zone == *zone);
-    let ahead = hosts.filter(|(address, peer)| rank(peer.link_mbps, address) > own_rank);
-    ahead.count() < READERS_PER_ZONE
+/// Returns the host of a zone that another one of it follows: the first in the order of those that
+/// aren't passed over. `None` if the other one, with the given link, is first itself.
+pub fn leader(
+    peers: &peers::Table,
+    now: Instant,
+    local: &LocalHost<'_>,
+    passed_over: &BTreeMap<Ipv4Addr, Instant>,
+) -> Option<Ipv4Addr> {
+    let own_rank = rank(local.link_mbps, &local.address);
+    let is_passed_over = |host: &Ipv4Addr| passed_over.get(host).is_some_and(|until| *until > now);
+    let hosts = peers.live(now).filter(|(_, peer)| peer.zone == *local.zone);
+    let hosts = hosts.filter(|(address, _)| !is_passed_over(address));
+    let ranked = hosts.map(|(address, peer)| (rank(peer.link_mbps, address), *address));
+    let (best, address) = ranked.max()?;
+    (best > own_rank).then_some(address)
 }
 
 /// Returns a key that orders the hosts of a zone. The highest ones read the store:
@@ -189,11 +267,53 @@
     needs_list: bool,
     /// Number of consecutive failures.
     failures: u32,
+    /// Hosts that couldn't be followed, each with the time until which it is passed over.
+    passed_over: BTreeMap<Ipv4Addr, Instant>,
+    /// Number of them since one was followed.
+    follow_failures: u32,
 }
 
 impl Reader {
+    /// Returns the host that this one follows; `None` if it reads the store itself.
+    fn leader(&mut self, state: &State) -> Option<Ipv4Addr> {
+        let now = Instant::now();
+        self.passed_over.retain(|_, until| *until > now);
+        let local = LocalHost {
+            address: state.address,
+            zone: &state.options.host.zone,
+            link_mbps: state.live_options().link_mbps,
+        };
+        let peers = lock(&state.peers);
+        match is_large_fleet(&peers, now) && self.follow_failures < MAX_FOLLOW_FAILURES {
+            true => leader(&peers, now, &local, &self.passed_over),
+            false => None,
+        }
+    }
+
+    /// Follows a host. One that fails is passed over for a while: all of its followers notice, and
+    /// turn to the next one, which reads the store in its place.
+    async fn follow(&mut self, state: &Arc<State>, leader: Ipv4Addr) {
+        // After a failure, this host's copy is old already.
+        let wait = match self.follow_failures {
+            0 => FOLLOW_WAIT,
+            _ => Duration::ZERO,
+        };
+        match follow(state, leader, wait).await {
+            Ok(()) => self.follow_failures = 0,
+            Err(lost) => {
+                info!(%leader, %lost, "peers: can't follow a host");
+                self.follow_failures += 1;
+                let until = Instant::now() + PASS_OVER_TIME;
+                self.passed_over.insert(leader, until);
+                // If it reads the store next, a watch would take too long.
+                self.needs_list = true;
+            }
+        }
+    }
+
     /// Reads the store once: all items, or the changes since the mirror's position.
     async fn step(&mut self, state: &Arc<State>) {
+        self.follow_failures = 0;
         let position = lock(&state.mirror).position();
         let revision = position.revision;
         let as_of = boot::Instant::now();
@@ -356,30 +476,6 @@
     }
 }
 
-/// Follows the first reader of this zone. Reads the store directly if there is none or
-/// it can't be followed.
-async fn follow_reader(state: &Arc<State>, reader: &mut Reader) {
-    let now = Instant::now();
-    let zone = state.options.host.zone.clone();
-    let leader = {
-        let peers = lock(&state.peers);
-        let hosts = peers.live(now).filter(|(_, peer)| peer.zone == zone);
-        let leader = hosts.max_by_key(|(address, peer)| rank(peer.link_mbps, address));
-        leader.map(|(address, _)| *address)
-    };
-    let result = match leader {
-        Some(leader) => follow(state, leader, FOLLOW_WAIT).await,
-        None => Err(follow::Fault::Refused(
-            http::StatusCode::SERVICE_UNAVAILABLE,
-        )),
-    };
-    if let Err(lost) = result {
-        info!(leader = leader.map(|it| it.to_string()), %lost, "peers: can't follow a host");
-        reader.needs_list = true;
-        reader.step(state).await;
-    }
-}
-
 /// Applies `change` to the mirror, and the events that it returns to the view.
 ///
 /// `as_of` is the time at which the store is known to have held the new content. Wakes
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,8 +16,9 @@
 //! 11. `crashes`: requests that crashed upstreams
 //! 12. `quarantine`: prompt segments that crashed upstreams
 //! 13. `origins`: versions that began streams
-//! 14. `live_options`: the gateway settings in effect
-//! 15. `meter`: metrics, and the locks of the connection pool
+//! 14. `copies`: copies of the store that were given to others
+//! 15. `live_options`: the gateway settings in effect
+//! 16. `meter`: metrics, and the locks of the connection pool
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -36,6 +37,7 @@
 use crate::gateway::buffer;
 use crate::gateway::cold_start;
 use crate::gateway::connection;
+use crate::gateway::follow;
 use crate::gateway::headers::Names;
 use crate::gateway::health;
 use crate::gateway::load;
@@ -114,6 +116,8 @@
     pub buffers: buffer::Budget,
     /// Outage of the store, and the recovery period after it.
     pub outage: Mutex<outage::Outage>,
+    /// Copies of the store that this host gave to others that started.
+    pub copies: Mutex<follow::Copies>,
     /// Held by the task that reads the store to confirm this host's copy.
     pub confirming: tokio::sync::Mutex<()>,
     /// Notified when a slot became free or the view changed.
@@ -190,6 +194,7 @@
             pool: connection::Pool::default(),
             buffers: buffer::Budget::default(),
             outage: Mutex::default(),
+            copies: Mutex::default(),
             confirming: tokio::sync::Mutex::default(),
             capacity_changed: Notify::new(),
             store_advanced: Notify::new(),
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -118,6 +119,27 @@
         fleet
     }
 
+    /// Starts all gateways of a fleet for the first time.
+    pub async fn start_first_fleet(count: u8, kind: Kind, upstreams: &[&Upstream]) -> Vec<Self> {
+        let network = Network::free();
+        let mut fleet = Vec::new();
+        for number in 1..=count {
+            let mut options = network.options(number);
+            options.gateway.first_start = true;
+            let listed = listed(upstreams);
+            fleet.push(Self::run(options, Some(kind), listed, Arc::default()).await);
+        }
+        Self::acquaint(&fleet).await;
+        fleet
+    }
+
+    /// Returns how often the gateway has read all items of the store, and how often it has watched
+    /// it.
+    pub fn store_calls(&self) -> (usize, usize) {
+        let count = |calls: &AtomicUsize| calls.load(Ordering::Relaxed);
+        (count(&self.store.lists), count(&self.store.watches))
+    }
+
     /// Starts gateways as [`Self::start_fleet`] does, each with paths of its own to the upstreams.
     pub async fn start_linked_fleet(
         count: u8,
@@ -163,13 +185,7 @@
         upstreams: &[&Upstream],
         store: Arc<Store>,
     ) -> Self {
-        let [a, b, c] = network.prefix;
-        let ip = Ipv4Addr::new(a, b, c, number);
-        let text = SETTINGS.replace("127.0.0.1:0", &format!("{ip}:0"));
-        let mut options = Options::parse(&text).unwrap();
-        options.host.peer.set_port(network.port);
-        options.gateway.gossip_port = network.port;
-        options.peer.seeds = vec![SocketAddr::from(([a, b, c, 1], network.port))];
+        let options = network.options(number);
         Self::run(options, Some(kind), listed(upstreams), store).await
     }
 
@@ -455,6 +471,18 @@
 }
 
 impl Network {
+    /// Returns the settings of a gateway. The first one is the seed.
+    fn options(self, number: u8) -> Options {
+        let [a, b, c] = self.prefix;
+        let ip = Ipv4Addr::new(a, b, c, number);
+        let text = SETTINGS.replace("127.0.0.1:0", &format!("{ip}:0"));
+        let mut options = Options::parse(&text).unwrap();
+        options.host.peer.set_port(self.port);
+        options.gateway.gossip_port = self.port;
+        options.peer.seeds = vec![SocketAddr::from(([a, b, c, 1], self.port))];
+        options
+    }
+
     /// Returns a network with a port that is free on one of its addresses. Concurrent tests
     /// use different networks.
     fn free() -> Self {
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -25,6 +25,7 @@
 mod link;
 mod partition;
 mod partition_soak;
+mod readers;
 mod refusals;
 mod rest;
 mod settings;
--- a/tests/gateway_path/store.rs
+++ b/tests/gateway_path/store.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -39,6 +40,10 @@
 pub struct Store {
     /// Whether calls get no response.
     pub is_silent: AtomicBool,
+    /// Number of full reads.
+    pub lists: AtomicUsize,
+    /// Number of watches.
+    pub watches: AtomicUsize,
     /// Whether watches get no response, while reads do.
     pub is_watch_silent: AtomicBool,
     /// Era, which rises when the store comes back from its first copy.
@@ -65,6 +70,7 @@
             let store = store.clone();
             move || {
                 let (store, mut items) = (store.clone(), items.clone());
+                store.lists.fetch_add(1, Ordering::Relaxed);
                 Box::pin(async move {
                     respond(&store).await;
                     let changes = lock(&store.changes).clone();
@@ -91,6 +97,7 @@
             let store = store.clone();
             move |revision, wait| {
                 let store = store.clone();
+                store.watches.fetch_add(1, Ordering::Relaxed);
                 Box::pin(async move {
                     // Responds after a change as well as at the end of the wait time.
                     let _notified = timeout(wait, store.changed.notified()).await;
