--- a/tests/gateway_follow.rs
+++ b/tests/gateway_follow.rs
@@ -6,6 +6,7 @@
 mod end;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use masticmoor::gateway::follow;
 use masticmoor::mirror::Position;
@@ -17,6 +18,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 use end::End;
 
@@ -72,3 +74,14 @@
         assert_eq!(result.unwrap(), reply());
     }
 }
+
+/// Guards against a host that alone carries the start of a whole fleet.
+#[tokio::test(start_paused = true)]
+async fn a_host_gives_a_limited_number_of_full_copies_a_second() {
+    let mut copies = follow::Copies::default();
+    for _ in 0..3 {
+        let given = (0..300).filter(|_| copies.take(Instant::now())).count();
+        assert_eq!(given, 20);
+        tokio::time::advance(Duration::from_millis(1_000)).await;
+    }
+}
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -202,6 +202,25 @@
     assert_eq!(receivers.len(), usize::from(ZONES) * usize::from(hosts));
 }
 
+/// Guards against parts of a summary that are lost with the hosts that should forward them.
+#[tokio::test(start_paused = true)]
+async fn a_summary_goes_to_hosts_that_are_up() {
+    let mut fleet = Fleet::new(50, SETTLED).await;
+    tokio::time::advance(Duration::from_secs(20)).await;
+    let up: BTreeSet<_> = all(50).filter(|it| it.1 % 5 == 0).collect();
+    for (it, (table, _)) in &mut fleet.hosts {
+        for (zone, host) in up.iter().filter(|other| *other != it) {
+            let announcement = announcement(*zone, u64::from(*host));
+            table.receive(Instant::now(), address(*zone, *host), announcement);
+        }
+    }
+    let up: BTreeSet<_> = up.iter().map(|it| address(it.0, it.1)).collect();
+    let rounds = fleet.next_round();
+    let recipients = rounds.values().flat_map(|round| round.summary.iter());
+    let recipients: BTreeSet<_> = recipients.flatten().copied().collect();
+    assert_eq!(recipients, up);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_starting_host_of_another_zone_is_answered_once() {
     let mut fleet = Fleet::new(50, SETTLED).await;
