--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -397,10 +397,7 @@
         zone: &ident::Zone,
         except: &BTreeSet<Ipv4Addr>,
     ) -> Option<Ipv4Addr> {
-        let informed = self.live(now).filter(|(_, peer)| peer.is_informed);
-        let others = informed.filter(|(address, _)| !except.contains(address));
-        let best = others.max_by_key(|(_, peer)| peer.zone == *zone);
-        best.map(|(address, _)| *address)
+        self.near_peer(now, zone, except, |peer| peer.is_informed)
     }
 
     /// Returns a live host that has been up for long enough to know the others and isn't in `except`,
@@ -411,8 +408,18 @@
         zone: &ident::Zone,
         except: &BTreeSet<Ipv4Addr>,
     ) -> Option<Ipv4Addr> {
-        let settled = self.live(now).filter(|(_, peer)| peer.fleet_size.is_some());
-        let others = settled.filter(|(address, _)| !except.contains(address));
+        self.near_peer(now, zone, except, |peer| peer.fleet_size.is_some())
+    }
+
+    fn near_peer(
+        &self,
+        now: Instant,
+        zone: &ident::Zone,
+        except: &BTreeSet<Ipv4Addr>,
+        fits: impl Fn(&Peer) -> bool,
+    ) -> Option<Ipv4Addr> {
+        let fitting = self.live(now).filter(|(_, peer)| fits(peer));
+        let others = fitting.filter(|(address, _)| !except.contains(address));
         let best = others.max_by_key(|(_, peer)| peer.zone == *zone);
         best.map(|(address, _)| *address)
     }
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -21,7 +21,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::boot;
-use crate::gateway::follow;
 use crate::gateway::follow::MAX_AGE;
 use crate::gateway::follow::follow;
 use crate::gateway::follow::follow_any;
@@ -33,7 +32,7 @@
 use crate::gateway::source::Fault;
 use crate::gateway::source::Snapshot;
 use crate::gateway::source::Source;
-use crate::gateway::state;
+use crate::gateway::start;
 use crate::gateway::state::State;
 use crate::gateway::view;
 use crate::lock::lock;
@@ -64,7 +63,7 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Wait time that a follower asks for.
-const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
+pub const FOLLOW_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Maximum number of hosts in a fleet in which every host reads the store.
 const MAX_SMALL_FLEET: usize = 16;
@@ -88,15 +87,6 @@
 /// itself.
 const MAX_FOLLOW_FAILURES: u32 = 3;
 
-/// Time after a start in which a host follows any other, until it knows how large the fleet is.
-const START_TIME: Duration = Duration::from_secs(2);
-
-/// Time limit for the first copy of a host that starts. After it, the host reads the store.
-const START_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// Maximum delay until a host asks again at the first start of all, when few hosts have a copy.
-const FIRST_START_DELAY: Duration = Duration::from_millis(200);
-
 /// Interval at which a host that starts looks for such messages.
 const JOIN_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -108,7 +98,7 @@
     let mut reader = Reader::default();
     tokio::select! {
         () = state.stop.cancelled() => return,
-        () = begin(&state) => {}
+        () = start::copy(&state) => {}
     }
     loop {
         let step = async {
@@ -124,59 +114,6 @@
     }
 }
 
-/// Copies the store from other hosts when this one starts, until it knows whether the fleet is so
-/// large that few read the store, and others of its zone. Returns early if none can be followed.
-///
-/// Each read of the store has a cost, and hundreds of hosts may start in a day, or at once. At the
-/// first start of all there are no callers yet, and the seeds alone read the store.
-async fn begin(state: &Arc<State>) {
-    let first_start = state.options.gateway.first_start;
-    let local = state.address;
-    let seeds = state::seeds(&state.options);
-    let others: Vec<_> = seeds.iter().filter(|it| **it != local).copied().collect();
-    let reads_first = first_start && seeds.contains(&local);
-    if others.is_empty() || reads_first {
-        return;
-    }
-    let started = Instant::now();
-    let mut source = None;
-    while started.elapsed() < START_TIME {
-        let has_copy = lock(&state.mirror).position() != Position::default();
-        let known = {
-            let now = Instant::now();
-            let peers = lock(&state.peers);
-            let zone = &state.options.host.zone;
-            let is_zone_known = peers.live(now).any(|(_, peer)| peer.zone == *zone);
-            if has_copy && is_zone_known && is_large_fleet(&peers, now) {
-                return;
-            }
-            peers.any_source(now, zone, MAX_AGE, state.random_fraction())
-        };
-        let index = (state.random_fraction() * others.len() as f64) as usize;
-        let Some(leader) = source.or(known).or(others.get(index).copied()) else {
-            return;
-        };
-        let left = START_TIME.saturating_sub(started.elapsed());
-        let followed = match has_copy {
-            true => follow(state, leader, FOLLOW_WAIT.min(left)).await,
-            false => timeout(START_TIMEOUT, follow(state, leader, Duration::ZERO))
-                .await
-                .unwrap_or(Err(follow::Fault::Timeout(START_TIMEOUT))),
-        };
-        match followed {
-            Ok(()) => source = Some(leader),
-            Err(lost) => {
-                info!(%leader, %lost, "peers: can't copy the store from a host");
-                if !first_start {
-                    return;
-                }
-                source = None;
-                tokio::time::sleep(FIRST_START_DELAY.mul_f64(state.random_fraction())).await;
-            }
-        }
-    }
-}
-
 /// Follows other hosts while this host's copy is behind theirs or too old, besides its
 /// regular source, until the process stops.
 pub async fn catch_up(state: Arc<State>) {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -28,6 +28,7 @@
 use crate::gateway::attempt::Exchange;
 use crate::gateway::attempt::History;
 use crate::gateway::attempt::Target;
+use crate::gateway::continuation;
 use crate::gateway::crash;
 use crate::gateway::forward;
 use crate::gateway::health::Observation;
@@ -430,15 +431,12 @@
         }
     }
 
-    /// Returns whether the body of a response can follow what was forwarded. That of a failure, or
-    /// of another type of content, isn't a part of the stream.
+    /// Returns whether the body of a response can follow what was forwarded.
     fn can_continue_with(&self, response: &Parts) -> bool {
-        if !self.has_begun() {
-            return response.status.is_success();
+        match self.has_begun() {
+            true => continuation::fits(&self.head, response),
+            false => response.status.is_success(),
         }
-        let begun = Content::of(&self.head.headers).unwrap_or(Content::Events);
-        let content = Content::of(&response.headers);
-        response.status == self.head.status && content.is_none_or(|it| it == begun)
     }
 
     /// Leaves an upstream whose response can't continue the stream. Fails if the request may not be
--- a/tests/gateway_path/continuation.rs
+++ b/tests/gateway_path/continuation.rs
@@ -7,11 +7,10 @@
 use masticmoor::gateway::table::Kind;
 use masticmoor::outcome::Outcome;
 use rstest::rstest;
-use tokio::time::timeout;
 
-use crate::TIMEOUT;
 use crate::caller;
 use crate::end::End;
+use crate::first_arrival;
 use crate::host::Host;
 use crate::link::Path;
 use crate::outcome;
@@ -195,12 +194,7 @@
     let (fleet, links) = Host::start_linked_fleet(2, Kind::ResumableStream, &all).await;
     let address = fleet[0].caller;
     let task = tokio::spawn(async move { caller::send(address, "a1", &[]).await });
-    let has_arrived = async {
-        while runs(&all) == 0 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    timeout(TIMEOUT, has_arrived).await.unwrap();
+    first_arrival(&all).await;
     tokio::time::sleep(Duration::from_millis(30)).await;
     links[0].set(Path::Reset);
     let reply = task.await.unwrap();
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -40,6 +40,7 @@
 use masticmoor::gateway::table::Kind;
 use masticmoor::gateway::warmup;
 use masticmoor::outcome::Outcome;
+use tokio::time::timeout;
 
 use crate::caller::Reply;
 use crate::host::Host;
@@ -61,6 +62,16 @@
     upstreams.iter().map(|it| it.requests().len()).sum()
 }
 
+/// Waits until an upstream has received a request.
+async fn first_arrival(upstreams: &[&Upstream]) {
+    let has_arrived = async {
+        while runs(upstreams) == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(TIMEOUT, has_arrived).await.unwrap();
+}
+
 fn outcome(reply: &Reply) -> Outcome {
     let body: serde_json::Value = serde_json::from_slice(&reply.body).unwrap();
     serde_json::from_value(body["outcome"].clone()).unwrap()
--- a/tests/gateway_path/partition.rs
+++ b/tests/gateway_path/partition.rs
@@ -13,6 +13,7 @@
 use crate::TIMEOUT;
 use crate::caller;
 use crate::caller::Reply;
+use crate::first_arrival;
 use crate::host::Host;
 use crate::link::Links;
 use crate::link::Path;
@@ -193,12 +194,7 @@
     links[0].set(Path::Reset);
     let address = fleet[0].caller;
     let task = tokio::spawn(async move { caller::send(address, "a1", &[]).await });
-    let has_arrived = async {
-        while runs(&all) == 0 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    timeout(TIMEOUT, has_arrived).await.unwrap();
+    first_arrival(&all).await;
     links[1].set(Path::Reset);
     let reply = task.await.unwrap();
     assert_eq!((reply.status, outcome(&reply)), (502, Outcome::Unknown));
@@ -240,12 +236,7 @@
     }
     let address = fleet[0].caller;
     let task = tokio::spawn(async move { caller::send(address, "a1", &[]).await });
-    let has_arrived = async {
-        while runs(&all) == 0 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    timeout(TIMEOUT, has_arrived).await.unwrap();
+    first_arrival(&all).await;
     tokio::time::sleep(Duration::from_millis(30)).await;
     links[0].set(Path::Reset);
     let reply = task.await.unwrap();
--- a/tests/gateway_reader.rs
+++ b/tests/gateway_reader.rs
@@ -1,4 +1,6 @@
-//! How a gateway reads the store when it is slow or silent.
+//! How a gateway reads the store when it is slow or silent, and which hosts do.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -8,7 +10,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use masticmoor::gateway::peers;
 use masticmoor::gateway::reader;
+use masticmoor::gateway::relay::LocalHost;
 use masticmoor::gateway::source::Delta;
 use masticmoor::gateway::source::Fault;
 use masticmoor::gateway::source::Snapshot;
@@ -95,3 +99,73 @@
         assert!(this.max(next) <= Duration::from_millis(1_500));
     }
 }
+
+/// Number of hosts of a zone of a large fleet.
+const ZONE_HOSTS: u8 = 49;
+
+fn announcement(process: u64, link_mbps: u32) -> peers::Announcement {
+    peers::Announcement {
+        format: masticmoor::gateway::datagram::VERSION,
+        zone: "z1".into(),
+        process,
+        is_leaving: false,
+        progress: peers::Progress::default(),
+        has_joined: true,
+        age: Some(Duration::ZERO),
+        link_mbps,
+        is_informed: true,
+        fleet_size: Some(295),
+        unreachable: Vec::new(),
+    }
+}
+
+/// Returns the hosts that read the store once all hosts of a zone have passed over the first `lost`,
+/// one after the other, and checks that all others follow the same one.
+fn readers(lost: usize) -> Vec<Ipv4Addr> {
+    let link = |host: u8| if host.is_multiple_of(7) { 170 } else { 10 };
+    let address = |host| Ipv4Addr::new(10, 0, 0, host);
+    let now = Instant::now();
+    let zone = "z1".into();
+    let mut readers = Vec::new();
+    let mut leaders = BTreeSet::new();
+    let mut ranked: Vec<_> = (1..=ZONE_HOSTS).collect();
+    ranked.sort_by_key(|host| std::cmp::Reverse(reader::rank(link(*host), &address(*host))));
+    for host in ranked.iter().skip(lost) {
+        let mut table = peers::Table::new(address(*host), Vec::new());
+        for other in (1..=ZONE_HOSTS).filter(|other| other != host) {
+            let announcement = announcement(u64::from(other), link(other));
+            table.receive(now, address(other), announcement);
+        }
+        let local = LocalHost {
+            address: address(*host),
+            zone: &zone,
+            link_mbps: link(*host),
+        };
+        let mut passed_over = BTreeMap::new();
+        for _ in 0..lost {
+            let leader = reader::leader(&table, now, &local, &passed_over).unwrap();
+            passed_over.insert(leader, now + Duration::from_secs(3));
+        }
+        match reader::leader(&table, now, &local, &passed_over) {
+            Some(leader) => drop(leaders.insert(leader)),
+            None => readers.push(address(*host)),
+        }
+        // Later they are tried again.
+        let later = now + Duration::from_millis(2_900);
+        assert_eq!(
+            reader::leader(&table, later, &local, &passed_over),
+            reader::leader(&table, now, &local, &passed_over)
+        );
+    }
+    assert_eq!(leaders.into_iter().collect::<Vec<_>>(), readers);
+    readers
+}
+
+/// Guards against a zone of which every host reads the store when its reader is lost or frozen, or
+/// those that are next with it.
+#[tokio::test(start_paused = true)]
+async fn a_zone_whose_first_hosts_are_lost_has_one_reader() {
+    let found: Vec<_> = (0..4).flat_map(readers).collect();
+    let different: BTreeSet<_> = found.iter().collect();
+    assert_eq!((found.len(), different.len()), (4, 4));
+}
