--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -202,7 +202,10 @@
                         _ => continue,
                     }
                 }
-                Ok(None) if self.is_whole() && self.is_end_confirmed() => return self.end(),
+                Ok(None) if self.is_whole() => match self.is_end_confirmed() {
+                    true => return self.end(),
+                    false => Code::ForeignAnswer,
+                },
                 Ok(None | Some(Err(_))) => Code::AnswerCut,
                 Err(_) if Instant::now() >= self.job.deadline => {
                     return Some(Err(self.fail(Code::StreamTimeout)));
--- a/tests/gateway_path/continuation.rs
+++ b/tests/gateway_path/continuation.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use masticmoor::gateway::table::Kind;
+use masticmoor::lock::lock;
 use masticmoor::outcome::Outcome;
 use rstest::rstest;
+use tokio::time::Instant;
 
 use crate::caller;
 use crate::end::End;
@@ -135,6 +137,19 @@
     assert!(reply.is_complete);
 }
 
+/// Guards against a request that is refused as one that crashes upstreams: one of them only ended the
+/// stream without an event.
+#[tokio::test]
+async fn an_upstream_that_ends_a_stream_at_once_has_not_crashed() {
+    let started = upstreams(&["u1", "u2"], script(&[BREAKS_OFF, raw(EMPTY)])).await;
+    let all: Vec<_> = started.iter().collect();
+    let host = Host::start(Kind::ResumableStream, &all).await;
+    let reply = caller::send(host.caller, "a1", &[]).await;
+    assert!(!reply.is_complete);
+    let crashes = lock(&host.state.crashes).reports(Instant::now(), 8);
+    assert_eq!(crashes.len(), 1, "{crashes:?}");
+}
+
 /// Events without a number would come again if the stream were resumed.
 #[tokio::test]
 async fn a_stream_of_unnumbered_events_is_not_resumed() {
