--- a/review/cases.rs
+++ b/review/cases.rs
@@ -119,6 +119,7 @@
 fn case(name: &str) -> i32 {
     match name {
         "1" => crashed_runner(name),
+        "2" => fractional_bound(name),
         _ => 2,
     }
 }
@@ -183,3 +184,95 @@
         _ => 1,
     }
 }
+
+/// The settings change, with a bound that is a fraction, and then all processes are killed.
+fn fractional_bound(name: &str) -> i32 {
+    const DOWN: Duration = Duration::from_millis(1_200);
+    const RECOVER: Duration = Duration::from_secs(12);
+    let runners = [("d-a", "z1"), ("d-b", "z2"), ("d-c", "z3")];
+    let runners = runners.map(|(id, zone)| Runner::new(id, "ticket-desk", zone, &["1", "30", "chunks"]));
+    let Some(mut world) = World::start(name, runners.into()) else {
+        return 2;
+    };
+    let record = world.record.clone();
+    let fronts: Vec<_> = world.fleet.hosts.iter().map(|it| it.front).collect();
+    let ended = Arc::new(AtomicBool::new(false));
+    // Requests and complete answers: before the fault, until the time limit for the recovery, and
+    // later.
+    let counts: Arc<[[AtomicU64; 2]; 3]> = Arc::default();
+    let phase = Arc::new(AtomicU64::new(0));
+    let callers = (0..6).map(|caller| {
+        let (fronts, record, ended) = (fronts.clone(), record.clone(), ended.clone());
+        let (counts, phase) = (counts.clone(), phase.clone());
+        thread::spawn(move || {
+            let mut number = 0;
+            while !ended.load(Ordering::Relaxed) {
+                let attempt = format!("{caller:04x}{number:012x}");
+                number += 1;
+                let path = if number % 3 == 0 { "/buy/seat" } else { "/look/seat" };
+                let front = fronts[(caller + number) % fronts.len()];
+                let index = phase.load(Ordering::Relaxed) as usize;
+                let answer = call(front, &attempt, "tickets.example", path, "", Duration::from_millis(2_500));
+                record.line(&format!("attempt={attempt} path={path} status={:?}", answer.status));
+                let is_served = answer.status == Some(200) && answer.is_complete;
+                counts[index][0].fetch_add(1, Ordering::Relaxed);
+                counts[index][1].fetch_add(u64::from(is_served), Ordering::Relaxed);
+                thread::sleep(Duration::from_millis(100));
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    thread::sleep(Duration::from_secs(3));
+    let grace_s = if has_trouble() { "7.5" } else { "7" };
+    record.line(&format!("settings: graceS is {grace_s} instead of 8"));
+    for number in 0..fronts.len() {
+        let fields = Fields { grace_s: grace_s.to_owned() };
+        world.fleet.write_settings(number, &fields, false);
+        if let Some(process) = &world.fleet.hosts[number].process {
+            process.signal("HUP");
+        }
+    }
+    thread::sleep(Duration::from_secs(3));
+    record.line("all processes are killed");
+    phase.store(1, Ordering::Relaxed);
+    for host in &mut world.fleet.hosts {
+        host.process = None;
+    }
+    thread::sleep(DOWN);
+    record.line("the machines are back");
+    let back = Instant::now();
+    let mut ends = 0;
+    while back.elapsed() < RECOVER + Duration::from_secs(6) {
+        for number in 0..fronts.len() {
+            let process = world.fleet.hosts[number].process.as_mut();
+            match process.map(Process::has_ended) {
+                None => world.fleet.start(number),
+                Some(Some(status)) => {
+                    ends += 1;
+                    record.line(&format!("ended by itself: host={number} {status}"));
+                    world.fleet.start(number);
+                }
+                Some(None) => {}
+            }
+        }
+        thread::sleep(Duration::from_millis(500));
+        if back.elapsed() > RECOVER {
+            phase.store(2, Ordering::Relaxed);
+        }
+    }
+    ended.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.join().unwrap();
+    }
+    let count = |phase: usize, index: usize| counts[phase][index].load(Ordering::Relaxed);
+    let times = ["before the fault", "until recoverS", "later than recoverS"];
+    for (phase, text) in times.iter().enumerate() {
+        println!("{text}: {} of {} requests served", count(phase, 1), count(phase, 0));
+    }
+    println!("processes ended by themselves {ends} times");
+    match count(2, 1) * 4 >= count(2, 0) {
+        _ if count(0, 1) * 4 < count(0, 0) || count(2, 0) == 0 => 2,
+        true => 0,
+        false => 1,
+    }
+}
