Log and export how old the loads are by which upstreams are chosen

The logs gave the load that a host knew, not how much of it may have changed since. Now `request: sent` has `unseen`, the reported requests that have probably been replaced by others since they were counted, and `masticmoor_load_age_seconds` the age of the reports. No decision uses them yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -219,7 +219,7 @@
     let upstream = lease.record.upstream.id.clone();
     let now = Instant::now();
     let condition = lease.condition;
-    info!(target: ROUTINE, id = job.id, %upstream, version = %lease.record.upstream.version, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = condition.load, candidates = condition.candidates,
+    info!(target: ROUTINE, id = job.id, %upstream, version = %lease.record.upstream.version, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = condition.load, unseen = (condition.unseen * 10.0).round() / 10.0, candidates = condition.candidates,
         usage = %condition.status, cold = condition.is_cold, warm = condition.is_holder, holder = lease.holder.as_ref().map(|it| it.upstream.id.as_str()), last_event, origin = job.origin,
         waited_ms = millis(now.duration_since(job.arrived)), "request: sent");
     match exchange(state, job, history, lease, last_event).await {
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -10,6 +10,9 @@
 /// How long a report is valid.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 
+/// Weight of a request in the moving average of the time that requests take.
+const DURATION_WEIGHT: f64 = 1.0 / 32.0;
+
 /// The sender of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
@@ -23,6 +26,50 @@
     Zone(u64, u32, u32),
 }
 
+impl Source {
+    /// Returns whether the report was passed on by a relay, or is one that relays pass on.
+    fn is_far(self) -> bool {
+        matches!(self, Self::RemoteHost(_) | Self::Zone(_, _, _))
+    }
+}
+
+/// Mean time since other hosts counted what they reported; `None` without reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Age {
+    /// Of reports that came from the hosts themselves.
+    pub near: Option<Duration>,
+    /// Of reports that came through relays of other zones.
+    pub far: Option<Duration>,
+}
+
+/// Shares of the reported requests that have probably ended since they were counted, from 0 to 1.
+/// As many that other hosts sent since took their places.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Turnover {
+    /// Of reports that came from the hosts themselves.
+    near: f64,
+    /// Of reports that came through relays of other zones.
+    far: f64,
+}
+
+impl Turnover {
+    /// Returns the turnover of reports if requests take `duration` on average; `None` if that
+    /// isn't known.
+    pub fn new(age: Age, duration: Option<Duration>) -> Self {
+        let share = |age: Option<Duration>| match (age, duration) {
+            (None, _) => 0.0,
+            (Some(age), Some(duration)) if duration > Duration::ZERO => {
+                1.0 - (-age.div_duration_f64(duration)).exp()
+            }
+            (Some(_), _) => 1.0,
+        };
+        Self {
+            near: share(age.near),
+            far: share(age.far),
+        }
+    }
+}
+
 /// Requests in flight, by upstream.
 pub type Counts = BTreeMap<ident::Upstream, u32>;
 
@@ -32,8 +79,12 @@
     /// Requests of this host.
     own: Counts,
     reports: BTreeMap<Source, Report>,
-    /// Sum of all reports.
-    sum: Counts,
+    /// Sum of the reports that came from the hosts themselves.
+    near: Counts,
+    /// Sum of the reports that came through relays of other zones.
+    far: Counts,
+    /// Moving average of the time in seconds that this host's requests take.
+    durations: BTreeMap<ident::Service, f64>,
 }
 
 #[derive(Clone, Debug)]
@@ -45,13 +96,56 @@
 impl Table {
     /// Returns the requests of all hosts in flight at an upstream.
     pub fn total(&self, upstream: &ident::Upstream) -> u32 {
-        let count = |counts: &Counts| counts.get(upstream).copied().unwrap_or_default();
-        count(&self.own).saturating_add(count(&self.sum))
+        let reported = count(&self.near, upstream).saturating_add(count(&self.far, upstream));
+        count(&self.own, upstream).saturating_add(reported)
+    }
+
+    /// Returns how many of the requests that other hosts reported at an upstream have probably
+    /// ended, and been replaced by others that this host doesn't know of.
+    pub fn unseen(&self, upstream: &ident::Upstream, turnover: Turnover) -> f64 {
+        let near = f64::from(count(&self.near, upstream)) * turnover.near;
+        near + f64::from(count(&self.far, upstream)) * turnover.far
+    }
+
+    /// Returns how old the reports are. A zone's relay counts from reports of its hosts, which
+    /// are taken to be as old as those that this host has.
+    pub fn age(&self, now: Instant) -> Age {
+        let mean = |is_far: bool| {
+            let reports = self.reports.iter();
+            let reports = reports.filter(|(source, _)| source.is_far() == is_far);
+            let (total, number) = reports.fold((Duration::ZERO, 0), |(total, number), (_, it)| {
+                (total + now.duration_since(it.received_at), number + 1)
+            });
+            (number > 0).then(|| total / number)
+        };
+        let near = mean(false);
+        Age {
+            near,
+            far: mean(true).map(|it| it + near.unwrap_or_default()),
+        }
+    }
+
+    /// Returns the time that this host's requests to a service take on average; `None` before
+    /// the first has ended.
+    pub fn duration(&self, service: &ident::Service) -> Option<Duration> {
+        let seconds = self.durations.get(service);
+        seconds.map(|seconds| Duration::from_secs_f64(*seconds))
+    }
+
+    /// Records how long a request to a service took.
+    pub fn record_duration(&mut self, service: &ident::Service, took: Duration) {
+        let took = took.as_secs_f64();
+        match self.durations.get_mut(service) {
+            Some(mean) => *mean += (took - *mean) * DURATION_WEIGHT,
+            None => {
+                self.durations.insert(service.clone(), took);
+            }
+        }
     }
 
     /// Returns this host's requests in flight at an upstream.
     pub fn own(&self, upstream: &ident::Upstream) -> u32 {
-        self.own.get(upstream).copied().unwrap_or_default()
+        count(&self.own, upstream)
     }
 
     /// Returns this host's requests in flight, by upstream.
@@ -88,8 +182,9 @@
         if let Source::Zone(zone, _, shards) = source {
             self.remove_other_shards(zone, shards);
         }
+        let sums = self.sums(source);
         for (upstream, count) in &counts {
-            let sum = self.sum.entry(upstream.clone()).or_default();
+            let sum = sums.entry(upstream.clone()).or_default();
             *sum = sum.saturating_add(*count);
         }
         self.reports.insert(
@@ -123,12 +218,25 @@
 
     fn remove_report(&mut self, source: Source) {
         let report = self.reports.remove(&source);
+        let sums = self.sums(source);
         for (upstream, count) in report.into_iter().flat_map(|report| report.counts) {
-            subtract(&mut self.sum, &upstream, count);
+            subtract(sums, &upstream, count);
+        }
+    }
+
+    /// Returns the sum that the reports of a source are part of.
+    fn sums(&mut self, source: Source) -> &mut Counts {
+        match source.is_far() {
+            true => &mut self.far,
+            false => &mut self.near,
         }
     }
 }
 
+fn count(counts: &Counts, upstream: &ident::Upstream) -> u32 {
+    counts.get(upstream).copied().unwrap_or_default()
+}
+
 fn subtract(counts: &mut Counts, upstream: &ident::Upstream, by: u32) {
     if let Some(count) = counts.get_mut(upstream) {
         *count = count.saturating_sub(by);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::gateway::load;
 use crate::gateway::resume::Evidence;
 use crate::gateway::table::Kind;
 use crate::lock::lock;
@@ -42,6 +43,12 @@
     evidence: &'static str,
 }
 
+/// Label set with the way that reports of loads come.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BySource {
+    source: &'static str,
+}
+
 type Histograms = Family<ByKind, Histogram, fn() -> Histogram>;
 
 /// The metrics and their registry.
@@ -67,6 +74,7 @@
     store_era: Gauge,
     retained_items: Gauge,
     noticed_upstreams: Gauge,
+    load_age_seconds: Family<BySource, Gauge<f64, AtomicU64>>,
 }
 
 /// Current values of the gauges.
@@ -86,6 +94,8 @@
     pub retained: usize,
     /// Upstreams that have announced something of themselves.
     pub noticed: usize,
+    /// Age of what other hosts reported of their requests.
+    pub load_age: load::Age,
 }
 
 impl Meter {
@@ -113,6 +123,7 @@
             store_era: Gauge::default(),
             retained_items: Gauge::default(),
             noticed_upstreams: Gauge::default(),
+            load_age_seconds: Family::default(),
             registry: Mutex::new(Registry::default()),
         };
         let it = &meter;
@@ -199,6 +210,11 @@
             "Upstreams that have announced something of themselves",
             it.noticed_upstreams.clone(),
         );
+        registry.register(
+            "load_age_seconds",
+            "Mean age of what other hosts reported of their requests, by the way that it came, -1 without reports",
+            it.load_age_seconds.clone(),
+        );
         *lock(&meter.registry) = registry;
         meter
     }
@@ -283,6 +299,14 @@
             .set(i64::try_from(gauges.era).unwrap_or(i64::MAX));
         self.retained_items.set(count(gauges.retained));
         self.noticed_upstreams.set(count(gauges.noticed));
+        let load_age = [
+            ("host", gauges.load_age.near),
+            ("relay", gauges.load_age.far),
+        ];
+        for (source, age) in load_age {
+            let gauge = self.load_age_seconds.get_or_create(&BySource { source });
+            gauge.set(age.map_or(-1.0, |age| age.as_secs_f64()));
+        }
         let mut text = String::new();
         encode(&mut text, &lock(&self.registry))?;
         Ok(text)
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -142,6 +142,7 @@
         era: state.progress().position.era,
         retained: lock(&state.mirror).retained(),
         noticed: lock(&state.notices).len(),
+        load_age: lock(&state.loads).age(now),
         version: view.route_table().map_or(0, |table| table.version),
     }
 }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -15,6 +15,7 @@
 use crate::gateway::health::Status;
 use crate::gateway::job::Job;
 use crate::gateway::limit;
+use crate::gateway::load;
 use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Choice;
@@ -123,6 +124,7 @@
                 })
                 .collect();
             let may_probe = job.route.kind.is_repeatable();
+            let turnover = load::Turnover::new(loads.age(now), loads.duration(&job.service));
             let members = view.listed(&job.service).map(|record| Member {
                 load: loads.total(&record.upstream.id),
                 status: status(record),
@@ -136,6 +138,7 @@
             let condition = match choice {
                 Choice::Send(index) => candidates.get(index).map(|it| Condition {
                     load: it.load,
+                    unseen: loads.unseen(it.id, turnover),
                     candidates: candidates.len(),
                     status: it.status,
                     is_cold: it.cold_quota.is_some(),
@@ -183,6 +186,7 @@
         }
         Selection::Selected(Lease {
             state: self.clone(),
+            selected_at: now,
             record: Arc::clone(record),
             holder,
             condition,
@@ -360,10 +364,12 @@
 }
 
 /// The state of an upstream when it was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Condition {
     /// Requests of all hosts in flight there.
     pub load: u32,
+    /// Those of other hosts that had probably ended and been replaced by others.
+    pub unseen: f64,
     /// Number of upstreams to choose from.
     pub candidates: usize,
     /// Whether it could get requests.
@@ -446,6 +452,7 @@
 /// Counts a request at an upstream until it is dropped.
 pub struct Lease {
     state: Arc<State>,
+    selected_at: Instant,
     /// The upstream.
     pub record: Arc<Record>,
     /// Another engine from which the upstream can copy the prompt.
@@ -456,7 +463,12 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        lock(&self.state.loads).end(&self.record.upstream.id);
+        {
+            let took = self.selected_at.elapsed();
+            let mut loads = lock(&self.state.loads);
+            loads.end(&self.record.upstream.id);
+            loads.record_duration(&self.record.upstream.service, took);
+        }
         self.state.capacity_changed.notify_waiters();
     }
 }
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -289,6 +289,52 @@
     assert_eq!(loads.total(&id), 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn older_counts_and_shorter_requests_leave_more_unseen() {
+    let mut loads = load::Table::default();
+    let id = "u1".into();
+    let service = "a".into();
+    let age = |loads: &load::Table| loads.age(Instant::now());
+    assert_eq!(age(&loads), load::Age::default());
+    loads.report(
+        Instant::now(),
+        load::Source::Zone(1, 0, 1),
+        [(id, 4)].into(),
+    );
+    tokio::time::advance(Duration::from_millis(600)).await;
+    let id = "u1".into();
+    let counts = [("u1".into(), 4)];
+    loads.report(Instant::now(), load::Source::Host(7), counts.into());
+    tokio::time::advance(Duration::from_millis(200)).await;
+    loads.begin(&id);
+    let expected = load::Age {
+        near: Some(Duration::from_millis(200)),
+        far: Some(Duration::from_secs(1)),
+    };
+    assert_eq!(age(&loads), expected);
+    let unseen = |loads: &load::Table| {
+        let turnover = load::Turnover::new(age(loads), loads.duration(&service));
+        loads.unseen(&id, turnover)
+    };
+    assert_eq!(
+        unseen(&loads),
+        8.0,
+        "nothing is known of how long requests take"
+    );
+    loads.record_duration(&service, Duration::from_secs(1));
+    let long = unseen(&loads);
+    let (near, far) = (
+        4.0 * (1.0 - (-0.2_f64).exp()),
+        4.0 * (1.0 - (-1.0_f64).exp()),
+    );
+    assert!((long - near - far).abs() < 1e-9, "{long}");
+    for _ in 0..100 {
+        loads.record_duration(&service, Duration::from_millis(20));
+    }
+    assert!(unseen(&loads) > long);
+    assert_eq!(loads.total(&id), 9);
+}
+
 /// Returns the progress of a host at a revision of the first era.
 fn progress(revision: u64, table_version: u64) -> peers::Progress {
     peers::Progress {
