Divide the room at upstreams among hosts that know their loads late

Callers with a prompt that many share waited behind others at the engines that hold it: 313 of 6,596 requests of five seconds were sent to engines above twice the mean plus three, up to 20 requests more than the host knew of.

Cause: each host takes the least loaded engine that holds the prompt, and when all are at their caps the first in the prompt's order. All hosts with the same counts take the same one until the counts come back, 0.1 to 0.8 s in a zone and a second or more between zones; then the next one. Caps up to the bound itself assumed that counts are exact.

Evidence: 287 of 299 requests above the bound were sent by hosts that believed the engine below it; the simulated fleet of gateway_staleness, 9 to 11 in 100 above the bound with a shared prompt, 0.3 without. Tried there, each not enough: a draw by room alone (9 to 11), room for two deviations of what is unseen alone (7 to 8, with the draw), four engines in place of one for the overflow (7 to 9). What overflows at one engine for all zones was the larger part.

Change: from the age of the reports and the time that requests take, a host estimates how many of the requests that it counts have been replaced by others that it doesn't know of. As many are expected from all hosts until the next count. Each host draws an upstream in proportion to its room below the level that these would fill, and passes over all of them in the proportion that finds no room; the caps stay 1.5 deviations of the unseen requests below the bound. Copies of a prompt that overflows are made in each zone, as many as the overflow needs. With exact counts it is the choice of before, but for the zone of a second copy. Plain upstreams are drawn in the same way.

Measured: the simulated fleet 0.8 to 1.3 in 100 in all four cases (failed before); as many long prompts go to engines that don't hold them (19 to 21 in 100, 16 to 19 before).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -48,6 +48,7 @@
 pub mod selection;
 pub mod serve;
 pub mod source;
+pub mod spread;
 pub mod start;
 pub mod state;
 pub mod stream;
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -68,6 +68,12 @@
             far: share(age.far),
         }
     }
+
+    /// Returns how many of the reported requests at an upstream have probably been replaced:
+    /// of `near` that hosts reported themselves and `far` that came through relays.
+    pub fn unseen(self, near: u32, far: u32) -> f64 {
+        f64::from(near) * self.near + f64::from(far) * self.far
+    }
 }
 
 /// Requests in flight, by upstream.
@@ -103,8 +109,7 @@
     /// Returns how many of the requests that other hosts reported at an upstream have probably
     /// ended, and been replaced by others that this host doesn't know of.
     pub fn unseen(&self, upstream: &ident::Upstream, turnover: Turnover) -> f64 {
-        let near = f64::from(count(&self.near, upstream)) * turnover.near;
-        near + f64::from(count(&self.far, upstream)) * turnover.far
+        turnover.unseen(count(&self.near, upstream), count(&self.far, upstream))
     }
 
     /// Returns how old the reports are. A zone's relay counts from reports of its hosts, which
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,9 +1,12 @@
 //! The policy that picks an upstream for a request.
 //!
-//! It is a pure function of the candidates, so hosts with the same knowledge make
-//! the same choice. [`crate::gateway::selection`] gathers the candidates.
+//! It is a pure function of the candidates and a random draw. Hosts with the same
+//! knowledge choose the same upstream for a prompt that none holds; where they may
+//! overload an upstream before they know of each other's requests, they [`spread`] them.
+//! [`crate::gateway::selection`] gathers the candidates.
 
 use crate::gateway::health::Status;
+use crate::gateway::spread;
 use crate::ident;
 use crate::policy::rank;
 
@@ -18,9 +21,14 @@
 }
 
 impl Cap {
+    /// Returns the load below which an upstream may get a request.
+    fn limit(self, mean: f64) -> f64 {
+        mean * self.multiple + self.margin
+    }
+
     /// Returns whether an upstream is below the cap.
     fn allows(self, mean: f64, it: &Candidate<'_>) -> bool {
-        f64::from(it.load) < mean * self.multiple + self.margin
+        f64::from(it.load) < self.limit(mean)
     }
 }
 
@@ -49,6 +57,12 @@
 /// hosts are older than a request takes.
 const SLOT_LIMIT: u32 = 3;
 
+/// What an upstream costs that fails all requests, in requests per slot.
+const FAILURE_COST: f64 = 2.0;
+
+/// More than any plain upstream that may get requests costs, in requests per slot.
+const MAX_COST: f64 = SLOT_LIMIT as f64 + FAILURE_COST;
+
 /// Load of a plain upstream, in requests per slot, below which upstreams of the
 /// caller's zone are preferred.
 const LOCAL_SLOT_LIMIT: f64 = 0.7;
@@ -60,6 +74,9 @@
     pub id: &'a ident::Upstream,
     /// Requests of all hosts in flight there, as far as this host knows.
     pub load: u32,
+    /// Those of other hosts that have probably ended, and been replaced by others that this host
+    /// doesn't know of.
+    pub unseen: f64,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is in this host's zone.
@@ -163,55 +180,140 @@
     NoUpstream,
 }
 
+/// Number of standard deviations of the unseen requests at an engine that are kept free below the
+/// load that users allow.
+const UNSEEN_DEVIATIONS: f64 = 1.5;
+
+/// An engine that may get a request, with its index among the candidates.
+type Indexed<'a, 'b> = (usize, &'b Candidate<'a>);
+
 /// Chooses an engine for a request that shares a prompt prefix with others.
 ///
-/// Of the engines below their caps, it takes the least loaded that holds the prefix,
-/// the caller's zone first, or else the first in the prefix's rendezvous order. If
-/// all are above their caps, it takes the least loaded, up to two requests per slot and
-/// the load that users allow. Unless `may_probe`, an upstream that is due for a probe is
-/// used only if no healthy one remains.
-pub fn engine(prompt: Prompt, mean: Mean, candidates: &[Candidate<'_>], may_probe: bool) -> Choice {
+/// Of the engines below their caps, it takes one that holds the prefix, the caller's zone
+/// first and the least loaded if counts are recent, or else the first in the prefix's
+/// rendezvous order. If all are above their caps, it takes the least loaded, up to two
+/// requests per slot and the load that users allow. Unless `may_probe`, an upstream that is
+/// due for a probe is used only if no healthy one remains. `draw` is uniform in 0..1.
+pub fn engine(
+    prompt: Prompt,
+    mean: Mean,
+    candidates: &[Candidate<'_>],
+    may_probe: bool,
+    draw: f64,
+) -> Choice {
     let eligible = match eligible(candidates, may_probe) {
         Ok(eligible) => eligible,
         Err(choice) => return choice,
     };
-    let is_below_cap =
-        |it: &Candidate<'_>, cap: Cap| cap.allows(mean.listed, it) && it.load < it.slots;
+    let may_send =
+        |it: &Candidate<'_>| it.load < it.slots.saturating_mul(2) && may_exceed(mean, it);
+    let allowed: Vec<Indexed<'_, '_>> = eligible
+        .iter()
+        .filter(|(_, it)| may_send(it))
+        .copied()
+        .collect();
     let tier = HOLDER_CAPS
         .iter()
         .find(|(tokens, _)| prompt.tokens >= *tokens);
     let holder_cap = tier.map_or(NON_HOLDER_CAP, |(_, cap)| *cap);
-    let is_local = |it: &Candidate<'_>| it.is_local;
-    let is_anywhere = |_: &Candidate<'_>| true;
-    let holding = |fits: &dyn Fn(&Candidate<'_>) -> bool| {
-        let pool = eligible.iter().filter(|(_, it)| fits(it) && it.is_holder);
-        let below_cap = pool.filter(|(_, it)| is_below_cap(it, holder_cap));
-        below_cap.min_by_key(|(_, it)| (!it.is_local, it.load))
+    let holders: Vec<_> = allowed
+        .iter()
+        .filter(|(_, it)| it.is_holder)
+        .copied()
+        .collect();
+    let is_held = eligible.iter().any(|(_, it)| it.is_holder);
+    let overflow = match is_held {
+        true => spread::overflow(&loads(mean, holder_cap, &holders)),
+        false => 0.0,
     };
-    let ranked = |fits: &dyn Fn(&Candidate<'_>) -> bool| {
-        let pool = eligible.iter().filter(|(_, it)| fits(it));
-        let below_cap = pool.filter(|(_, it)| is_below_cap(it, NON_HOLDER_CAP));
-        below_cap.max_by(|(_, a), (_, b)| {
-            let a = rank::score(prompt.key, a.id, 1.0);
-            let b = rank::score(prompt.key, b.id, 1.0);
-            a.total_cmp(&b)
-        })
+    let holding = |is_local: bool, draw: f64| {
+        let pool = in_zone(is_local, &holders);
+        let chosen = spread::choose(&loads(mean, holder_cap, &pool), draw);
+        chosen.and_then(|at| pool.get(at).map(|(index, _)| *index).ok_or(draw))
     };
-    let least_loaded = eligible.iter().min_by_key(|(_, it)| it.load);
-    let local = match prompt.tokens < LOCAL_PROMPT_TOKENS {
-        true => holding(&is_local).or_else(|| ranked(&is_local)),
-        false => None,
+    let ranked = |is_local: bool, draw: f64| {
+        let pool = in_zone(is_local, &allowed);
+        first_ranked(prompt, mean, pool, overflow, draw)
     };
-    let anywhere = || holding(&is_anywhere).or_else(|| ranked(&is_anywhere));
-    match local.or_else(anywhere).or(least_loaded) {
-        Some((index, it)) if it.load < it.slots.saturating_mul(2) && may_exceed(mean, it) => {
-            Choice::Send(*index)
-        }
-        Some(_) => Choice::Wait,
-        None => Choice::NoUpstream,
+    let is_local = true;
+    let chosen = match prompt.tokens < LOCAL_PROMPT_TOKENS {
+        true => holding(is_local, draw)
+            .or_else(|draw| ranked(is_local, draw))
+            .or_else(|draw| holding(!is_local, draw)),
+        // Another copy of a prompt that overflows its holders goes to each zone, where its load
+        // is known sooner.
+        false if is_held => holding(is_local, draw)
+            .or_else(|draw| holding(!is_local, draw))
+            .or_else(|draw| ranked(is_local, draw)),
+        false => Err(draw),
+    };
+    let chosen = chosen.or_else(|draw| ranked(!is_local, draw)).ok();
+    let least_loaded = || {
+        let least_loaded = allowed.iter().min_by_key(|(_, it)| it.load);
+        least_loaded.map(|(index, _)| *index)
+    };
+    match chosen.or_else(least_loaded) {
+        Some(index) => Choice::Send(index),
+        None => Choice::Wait,
     }
 }
 
+/// Returns the engines of the caller's zone, or all.
+fn in_zone<'a, 'b>(is_local: bool, pool: &[Indexed<'a, 'b>]) -> Vec<Indexed<'a, 'b>> {
+    let pool = pool.iter().filter(|(_, it)| !is_local || it.is_local);
+    pool.copied().collect()
+}
+
+/// Returns the loads of engines, with caps that leave room for what is unseen.
+fn loads(mean: Mean, cap: Cap, pool: &[Indexed<'_, '_>]) -> Vec<spread::Load> {
+    let load = |it: &Candidate<'_>| {
+        let margin = UNSEEN_DEVIATIONS * it.unseen.sqrt();
+        let limit = cap
+            .limit(mean.listed)
+            .min(FALLBACK_CAP.limit(mean.listed) - margin);
+        spread::Load {
+            known: f64::from(it.load),
+            unseen: it.unseen,
+            // The last request below the limit is allowed.
+            cap: limit.ceil().min(f64::from(it.slots)),
+            step: 1.0,
+        }
+    };
+    pool.iter().map(|(_, it)| load(it)).collect()
+}
+
+/// Chooses an engine that doesn't hold a prompt: the first in the prompt's rendezvous order, or one
+/// of as many as `overflow` requests for it need. Fails with a draw if none is below its cap.
+fn first_ranked(
+    prompt: Prompt,
+    mean: Mean,
+    pool: Vec<Indexed<'_, '_>>,
+    overflow: f64,
+    draw: f64,
+) -> Result<usize, f64> {
+    let rooms = loads(mean, NON_HOLDER_CAP, &pool);
+    let free = pool.into_iter().zip(rooms);
+    let free = free.filter(|(_, load)| load.room() > 0.0);
+    let mut ranked: Vec<_> = free
+        .map(|((index, it), load)| (rank::score(prompt.key, it.id, 1.0), index, load))
+        .collect();
+    ranked.sort_unstable_by(|(a, _, _), (b, _, _)| b.total_cmp(a));
+    let mut left = overflow;
+    let needed = ranked.iter().take_while(|(_, _, load)| {
+        let is_needed = left > 0.0;
+        left -= load.room();
+        is_needed
+    });
+    let needed = needed.count().max(1);
+    let rooms = ranked.iter().take(needed).map(|(_, _, load)| *load);
+    let at = spread::choose(&rooms.collect::<Vec<_>>(), draw).or_else(|draw| {
+        let count = needed.min(ranked.len());
+        let at = (draw * count as f64) as usize;
+        (at < count).then_some(at).ok_or(draw)
+    })?;
+    ranked.get(at).map(|(_, index, _)| *index).ok_or(draw)
+}
+
 /// Chooses the engine that a prompt is copied from.
 ///
 /// Prefers an engine that is shutting down, as its prompts are lost with it, then a
@@ -224,37 +326,39 @@
     best.map(|(index, _)| index)
 }
 
-/// Chooses a plain upstream: the least loaded, preferring the caller's zone while
+/// Chooses a plain upstream: one of the least loaded, preferring the caller's zone while
 /// it has spare capacity.
 ///
-/// `draw` is uniform in 0..1 and breaks ties. Unless `may_probe`, an upstream that
-/// is due for a probe is used only if no healthy one remains.
+/// `draw` is uniform in 0..1. Unless `may_probe`, an upstream that is due for a probe is used
+/// only if no healthy one remains.
 pub fn plain(draw: f64, mean: Mean, candidates: &[Candidate<'_>], may_probe: bool) -> Choice {
     let eligible = match eligible(candidates, may_probe) {
         Ok(eligible) => eligible,
         Err(choice) => return choice,
     };
-    let load = |it: &Candidate<'_>| f64::from(it.load) / f64::from(it.slots.max(1));
-    let cost = |it: &Candidate<'_>| load(it) + it.failure_rate * 2.0;
-    let count = eligible.len();
-    let skip = (draw * count as f64) as usize;
-    let rotated = || eligible.iter().cycle().skip(skip).take(count);
-    let least_loaded = |(_, a): &&(usize, &Candidate<'_>), (_, b): &&(usize, &Candidate<'_>)| {
-        cost(a).total_cmp(&cost(b))
+    let may_send =
+        |it: &Candidate<'_>| it.load < it.slots.saturating_mul(SLOT_LIMIT) && may_exceed(mean, it);
+    let allowed: Vec<_> = eligible.iter().filter(|(_, it)| may_send(it)).collect();
+    let choose = |is_local: bool, limit: f64, draw: f64| {
+        let pool = allowed.iter().filter(|(_, it)| !is_local || it.is_local);
+        let pool: Vec<_> = pool.collect();
+        let loads = pool.iter().map(|(_, it)| {
+            let slots = f64::from(it.slots.max(1));
+            spread::Load {
+                known: f64::from(it.load) / slots + it.failure_rate * FAILURE_COST,
+                unseen: it.unseen / slots,
+                // The last request below the limit is allowed.
+                cap: (limit * slots).ceil() / slots,
+                step: 1.0 / slots,
+            }
+        });
+        let chosen = spread::choose(&loads.collect::<Vec<_>>(), draw);
+        chosen.and_then(|at| pool.get(at).map(|(index, _)| *index).ok_or(draw))
     };
-    let has_spare = |it: &Candidate<'_>| cost(it) < LOCAL_SLOT_LIMIT && may_exceed(mean, it);
-    let local = rotated().filter(|(_, it)| it.is_local && has_spare(it));
-    match local
-        .min_by(least_loaded)
-        .or_else(|| rotated().min_by(least_loaded))
-    {
-        Some((index, it))
-            if it.load < it.slots.saturating_mul(SLOT_LIMIT) && may_exceed(mean, it) =>
-        {
-            Choice::Send(*index)
-        }
-        Some(_) => Choice::Wait,
-        None => Choice::NoUpstream,
+    let chosen = choose(true, LOCAL_SLOT_LIMIT, draw);
+    match chosen.or_else(|draw| choose(false, MAX_COST, draw)) {
+        Ok(index) => Choice::Send(index),
+        Err(_) => Choice::Wait,
     }
 }
 
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -103,6 +103,7 @@
                     status => status,
                 }
             };
+            let turnover = load::Turnover::new(loads.age(now), loads.duration(&job.service));
             let candidates: Vec<Candidate<'_>> = usable
                 .iter()
                 .zip(quotas.iter().zip(&allowances).zip(&rooms))
@@ -111,6 +112,7 @@
                     Candidate {
                         id,
                         load: loads.total(id),
+                        unseen: loads.unseen(id, turnover),
                         slots: record.upstream.slots,
                         is_local: record.upstream.zone == self.options.host.zone,
                         status: status(record),
@@ -124,21 +126,21 @@
                 })
                 .collect();
             let may_probe = job.route.kind.is_repeatable();
-            let turnover = load::Turnover::new(loads.age(now), loads.duration(&job.service));
             let members = view.listed(&job.service).map(|record| Member {
                 load: loads.total(&record.upstream.id),
                 status: status(record),
                 is_cold: record.cold_until > boot_now,
             });
             let mean = Mean::of(&members.collect::<Vec<_>>());
+            let draw = self.random_fraction();
             let choice = match job.route.is_sticky {
-                true => placement::engine(job.prompt, mean, &candidates, may_probe),
-                false => placement::plain(self.random_fraction(), mean, &candidates, may_probe),
+                true => placement::engine(job.prompt, mean, &candidates, may_probe, draw),
+                false => placement::plain(draw, mean, &candidates, may_probe),
             };
             let condition = match choice {
                 Choice::Send(index) => candidates.get(index).map(|it| Condition {
                     load: it.load,
-                    unseen: loads.unseen(it.id, turnover),
+                    unseen: it.unseen,
                     candidates: candidates.len(),
                     status: it.status,
                     is_cold: it.cold_quota.is_some(),
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -26,6 +26,7 @@
     let candidates = ids.iter().map(|id| Candidate {
         id,
         load: 0,
+        unseen: 0.0,
         slots: 64,
         is_local: true,
         status: Status::Healthy,
@@ -44,7 +45,7 @@
 }
 
 fn engine_at(key: u64, tokens: u64, mean: f64, candidates: &[Candidate<'_>]) -> Choice {
-    placement::engine(Prompt { key, tokens }, same(mean), candidates, true)
+    placement::engine(Prompt { key, tokens }, same(mean), candidates, true, 0.5)
 }
 
 /// Returns the means of a service whose upstreams are all sound.
@@ -252,6 +253,28 @@
     assert!(matches!(plain(0.0, &all, true), Choice::Send(at) if at > 0));
 }
 
+/// Requests to a plain upstream are shorter than the time in which hosts learn of each other's.
+#[test]
+fn hosts_with_late_counts_do_not_all_choose_the_same_plain_upstream() {
+    let ids = ids(5);
+    let mut all = candidates(&ids);
+    for (load, candidate) in (1_u32..).zip(&mut all) {
+        candidate.slots = 6;
+        candidate.is_local = false;
+        candidate.load = load;
+        candidate.unseen = f64::from(load);
+    }
+    let draws = (0..100).map(|draw| f64::from(draw) / 100.0);
+    let mut counts = [0; 5];
+    for draw in draws {
+        let Choice::Send(at) = plain(draw, &all, true) else {
+            panic!("no upstream");
+        };
+        counts[at] += 1;
+    }
+    assert!(counts.iter().all(|count| *count >= 10), "{counts:?}");
+}
+
 #[test]
 fn requests_wait_when_all_plain_upstreams_are_at_their_limit() {
     let ids = ids(3);
@@ -324,7 +347,7 @@
         key: 1,
         tokens: LONG_PROMPT_TOKENS,
     };
-    let choice = placement::engine(prompt, mean, &all, true);
+    let choice = placement::engine(prompt, mean, &all, true, 0.5);
     assert_eq!(choice, Choice::Send(0));
     all[0].status = Status::Suspect;
     let mean = Mean {
@@ -332,7 +355,7 @@
         sound: 2.0,
         reachable: 20.0,
     };
-    let choice = placement::engine(prompt, mean, &all, true);
+    let choice = placement::engine(prompt, mean, &all, true, 0.5);
     assert_eq!(choice, Choice::Send(0));
 }
 
--- a/tests/gateway_staleness/fleet.rs
+++ b/tests/gateway_staleness/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use masticmoor::gateway::health::Status;
+use masticmoor::gateway::load;
 use masticmoor::gateway::placement;
 use masticmoor::gateway::placement::Candidate;
 use masticmoor::gateway::placement::Choice;
@@ -71,6 +72,9 @@
     seconds: f64,
 }
 
+/// Mean time at an engine of all kinds together.
+const MEAN_DURATION: Duration = Duration::from_millis(620);
+
 const KINDS: [Kind; 3] = [
     Kind {
         share: 0.24,
@@ -155,6 +159,8 @@
     /// Placements to tell.
     news: Vec<(u64, usize)>,
     sent_at: Duration,
+    /// When the latest report of each host of its zone came.
+    reported_at: BTreeMap<usize, Duration>,
     /// Number of the round that is due.
     round: u64,
 }
@@ -168,6 +174,8 @@
     loads: Vec<u32>,
     /// The latest summary of each zone, as the hosts of each zone know it.
     summaries: Vec<Vec<Vec<u32>>>,
+    /// When it came.
+    summarized_at: Vec<Vec<Duration>>,
     /// Placements to summarize, by zone and relay.
     queued: Vec<[BTreeSet<(u64, usize)>; 2]>,
     events: BTreeMap<(Duration, u64), Event>,
@@ -198,6 +206,7 @@
             hosts: vec![host; hosts],
             loads: vec![0; engines],
             summaries: vec![vec![vec![0; engines]; shape.zones]; shape.zones],
+            summarized_at: vec![vec![Duration::ZERO; shape.zones - 1]; shape.zones],
             queued: vec![[BTreeSet::new(), BTreeSet::new()]; shape.zones],
             events: BTreeMap::new(),
             sequence: 0,
@@ -336,8 +345,31 @@
         own + state.local[engine] + remote.map(|it| it[engine]).sum::<u32>()
     }
 
+    /// Returns the age of the counts that a host has.
+    fn age(&self, host: usize) -> load::Age {
+        let mean = |times: &[Duration]| {
+            let ages = times.iter().map(|at| self.now - *at);
+            ages.sum::<Duration>() / u32::try_from(times.len()).unwrap_or(u32::MAX)
+        };
+        let reported = &self.hosts[host].reported_at;
+        let near =
+            (!reported.is_empty()).then(|| mean(&reported.values().copied().collect::<Vec<_>>()));
+        let far = mean(&self.summarized_at[self.zone(host)]) + near.unwrap_or_default();
+        let far = Some(far);
+        load::Age { near, far }
+    }
+
+    /// Returns how many of the requests that a host knows at an engine have probably been replaced.
+    fn unseen(&self, host: usize, engine: usize, turnover: load::Turnover) -> f64 {
+        let remote = self.summaries[self.zone(host)].iter();
+        let near = self.hosts[host].local[engine];
+        turnover.unseen(near, remote.map(|it| it[engine]).sum())
+    }
+
     fn place(&mut self, host: usize, request: Request) {
         let zone = self.zone(host);
+        let draw: f64 = self.rng.random();
+        let turnover = load::Turnover::new(self.age(host), Some(MEAN_DURATION));
         let holders = self.hosts[host].holders.get(&request.key);
         let known: Vec<u32> = (0..self.loads.len())
             .map(|it| self.known(host, it))
@@ -350,6 +382,7 @@
             .map(|engine| Candidate {
                 id: &self.ids[engine],
                 load: known[engine],
+                unseen: self.unseen(host, engine, turnover),
                 slots: self.shape.slots,
                 is_local: engine / self.shape.engines == zone,
                 status: Status::Healthy,
@@ -373,7 +406,7 @@
             key: request.key,
             tokens: KINDS[request.kind].tokens,
         };
-        let choice = placement::engine(prompt, Mean::of(&members), &candidates, true);
+        let choice = placement::engine(prompt, Mean::of(&members), &candidates, true, draw);
         match choice {
             Choice::Send(engine) => self.send(host, engine, request),
             Choice::Wait | Choice::NoUpstream => {
@@ -388,7 +421,7 @@
     }
 
     fn send(&mut self, host: usize, engine: usize, request: Request) {
-        let mean = self.loads.iter().sum::<u32>() as f64 / self.loads.len() as f64;
+        let mean = f64::from(self.loads.iter().sum::<u32>()) / self.loads.len() as f64;
         let is_above = f64::from(self.loads[engine]) > 2.0 * mean + 3.0;
         self.sends.push((self.now, is_above));
         self.loads[engine] += 1;
@@ -438,6 +471,7 @@
                 continue;
             }
             let state = &mut self.hosts[host];
+            state.reported_at.insert(from, self.now);
             let old = state.reports.insert(from, loads.clone());
             for (engine, count) in old.into_iter().flatten() {
                 state.local[engine] -= count;
@@ -469,6 +503,9 @@
                 continue;
             }
             self.summaries[zone][from].copy_from_slice(loads);
+            // The other zones of each, in order.
+            let index = from - usize::from(from > zone);
+            self.summarized_at[zone][index] = self.now;
             for host in self.neighbours(zone) {
                 let state = &mut self.hosts[host];
                 for (key, engine) in news {
--- a/tests/gateway_staleness/main.rs
+++ b/tests/gateway_staleness/main.rs
@@ -15,6 +15,13 @@
 /// Requests in a hundred that users allow at engines above twice the mean load plus three.
 const MAX_ABOVE: f64 = 3.0;
 
+/// Requests with a long prompt in a hundred that may go to an engine that doesn't hold it: three of
+/// four find their prompt.
+const MAX_PREFILLED: f64 = 25.0;
+
+/// Requests in a hundred that may have to wait although most engines have free slots.
+const MAX_WAITS: f64 = 0.1;
+
 const LARGE: Shape = Shape {
     zones: 6,
     hosts: 49,
@@ -41,4 +48,6 @@
 fn hosts_with_late_counts_do_not_overload_the_engines_that_hold_a_prompt(#[case] shape: Shape) {
     let outcome = Fleet::new(shape, 1).run(LENGTH);
     assert!(outcome.above <= MAX_ABOVE, "{outcome:?}");
+    assert!(outcome.prefilled <= MAX_PREFILLED, "{outcome:?}");
+    assert!(outcome.waits <= MAX_WAITS, "{outcome:?}");
 }
