--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -38,6 +38,14 @@
 /// How long an unreachable upstream counts as evidence that its zone is unreachable.
 const UNREACHABLE_WINDOW: Duration = Duration::from_millis(1_500);
 
+/// Minimum number of unreachable upstreams of another zone at which the whole zone
+/// counts as partitioned. Its other upstreams are then used only after a probe.
+const MIN_ZONE_FAILURES: usize = 2;
+
+/// Time without a message from any host of a zone after which the zone counts as
+/// partitioned. A host of a small fleet sends a few messages in that time.
+const MAX_ZONE_SILENCE: Duration = Duration::from_millis(450);
+
 /// Whether an upstream may get requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -156,6 +164,20 @@
         })
     }
 
+    /// Returns whether another zone may be partitioned from this host. `upstreams` are those of a
+    /// service there, `silence` is the time since any host of the zone sent a message.
+    pub fn is_zone_cut_off(
+        &self,
+        now: Instant,
+        upstreams: &[&ident::Upstream],
+        silence: Option<Duration>,
+    ) -> bool {
+        let unreachable = upstreams.iter();
+        let unreachable = unreachable.filter(|it| self.was_unreachable(now, it));
+        unreachable.count() >= MIN_ZONE_FAILURES
+            || silence.is_some_and(|silence| silence > MAX_ZONE_SILENCE)
+    }
+
     /// Records that a request was sent as a probe.
     pub fn begin_probe(&mut self, now: Instant, upstream: &ident::Upstream) {
         if let Some(entry) = self.entries.get_mut(upstream) {
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -35,14 +35,6 @@
 /// upstreams, or has to wait longer for it. Other hosts may have one.
 const MAX_LIMITED_WAIT: Duration = Duration::from_millis(500);
 
-/// Minimum number of unreachable upstreams of another zone at which the whole zone
-/// counts as partitioned. Its other upstreams are then used only after a probe.
-const MIN_ZONE_FAILURES: usize = 2;
-
-/// Time without a message from any host of a zone after which the zone counts as
-/// partitioned. A host of a small fleet sends a few messages in that time.
-const MAX_ZONE_SILENCE: Duration = Duration::from_millis(450);
-
 impl State {
     /// Chooses an upstream for a request, preferring those that are not in `tried`,
     /// and counts the request there. A stream in progress continues at `version` only.
@@ -82,26 +74,24 @@
             })
             .collect();
         let rooms = self.rooms(now, &usable);
-        let silent = self.silent_zones(now, &usable);
+        let silences = self.zone_silences(now, &usable);
         let (choice, condition, summary) = {
             let health = lock(&self.health);
             let loads = lock(&self.loads);
             let cache = lock(&self.prefix_cache);
-            let mut unreachable: BTreeMap<&ident::Zone, usize> = BTreeMap::new();
-            for record in &usable {
-                if health.was_unreachable(now, &record.upstream.id) {
-                    *unreachable.entry(&record.upstream.zone).or_default() += 1;
-                }
-            }
+            let mut zones: BTreeMap<&ident::Zone, Vec<&ident::Upstream>> = BTreeMap::new();
             let local = &self.options.host.zone;
-            let status = |record: &Record| {
-                let zone = &record.upstream.zone;
-                let down = unreachable.get(zone).copied().unwrap_or_default();
-                match health.status(now, &record.upstream.id) {
-                    Status::Healthy if zone != local && down >= MIN_ZONE_FAILURES => Status::Probe,
-                    Status::Healthy if silent.contains(zone) => Status::Probe,
-                    status => status,
-                }
+            for record in usable.iter().filter(|it| it.upstream.zone != *local) {
+                let upstreams = zones.entry(&record.upstream.zone).or_default();
+                upstreams.push(&record.upstream.id);
+            }
+            zones.retain(|zone, upstreams| {
+                let silence = silences.get(zone).copied().flatten();
+                health.is_zone_cut_off(now, upstreams, silence)
+            });
+            let status = |record: &Record| match health.status(now, &record.upstream.id) {
+                Status::Healthy if zones.contains_key(&record.upstream.zone) => Status::Probe,
+                status => status,
             };
             let turnover = load::Turnover::new(loads.age(now), loads.duration(&job.service));
             let candidates: Vec<Candidate<'_>> = usable
@@ -248,26 +238,25 @@
         })
     }
 
-    /// Returns the other zones of which no host has sent a message for
-    /// `MAX_ZONE_SILENCE`. Always empty in a large fleet, in which hosts of other
-    /// zones send messages too seldom for their silence to mean a partition.
-    fn silent_zones<'a>(
+    /// Returns the time since any host of each other zone sent a message. Always empty in a large
+    /// fleet, in which hosts of other zones send messages too seldom for their silence to mean a
+    /// partition.
+    fn zone_silences<'a>(
         &self,
         now: Instant,
         usable: &[&'a Arc<Record>],
-    ) -> BTreeSet<&'a ident::Zone> {
+    ) -> BTreeMap<&'a ident::Zone, Option<Duration>> {
         let peers = lock(&self.peers);
         if reader::is_large_fleet(&peers, now) {
-            return BTreeSet::new();
+            return BTreeMap::new();
         }
         let local = &self.options.host.zone;
-        let zones: BTreeSet<_> = usable.iter().map(|record| &record.upstream.zone).collect();
-        let others = zones.into_iter().filter(|zone| *zone != local);
-        let silent = others.filter(|zone| {
-            let silence = peers.zone_silence(now, zone);
-            silence.is_some_and(|silence| silence > MAX_ZONE_SILENCE)
-        });
-        silent.collect()
+        let zones = usable.iter().map(|record| &record.upstream.zone);
+        let zones: BTreeSet<_> = zones.filter(|zone| *zone != local).collect();
+        let zones = zones.into_iter();
+        zones
+            .map(|zone| (zone, peers.zone_silence(now, zone)))
+            .collect()
     }
 
     /// Returns what this host may send now to each of some upstreams; `None` for one that has
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -266,6 +266,29 @@
     assert_eq!(health.status(Instant::now(), &id), Status::Healthy);
 }
 
+/// Returns whether a zone with upstreams u1 to u5 counts as cut off.
+fn is_cut_off(health: &health::Table, silence: Option<Duration>) -> bool {
+    let ids: Vec<masticmoor::ident::Upstream> = (1..=5)
+        .map(|number| format!("u{number}").as_str().into())
+        .collect();
+    let ids: Vec<_> = ids.iter().collect();
+    health.is_zone_cut_off(Instant::now(), &ids, silence)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_zone_with_silent_hosts_or_two_unreachable_upstreams_is_cut_off() {
+    let mut health = health::Table::default();
+    assert!(!is_cut_off(&health, None));
+    assert!(!is_cut_off(&health, Some(Duration::from_millis(400))));
+    assert!(is_cut_off(&health, Some(Duration::from_millis(500))));
+    health.record(Instant::now(), &"u1".into(), Observation::Unreachable);
+    assert!(!is_cut_off(&health, None));
+    health.record(Instant::now(), &"u2".into(), Observation::Unreachable);
+    assert!(is_cut_off(&health, None));
+    tokio::time::advance(Duration::from_millis(1_500)).await;
+    assert!(!is_cut_off(&health, None));
+}
+
 #[tokio::test(start_paused = true)]
 async fn loads_of_a_silent_host_expire() {
     let mut loads = load::Table::default();
