Don't take a zone whose upstreams respond for one that is cut off

Callers waited at two engines while seven stood by: when eight of nine hosts are lost, the last one sent 85 requests in 1.7 s to an engine of its own zone.

Cause: silence of a zone's hosts counted as a partition from the zone, and so did two upstreams of it that couldn't be reached. All its upstreams are then used for probes only, and those of the own zone are compared with their own mean. But hosts die, and upstreams crash one by one; with 34 upstreams in a zone two are no sign of anything.

Change: a response from the zone proves the way to it. Silence counts only if no upstream of the zone has responded either within that time, and a failure only if none has since. A partition still shows: both run out together.

--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -115,6 +115,16 @@
     }
 }
 
+impl Entry {
+    /// Returns whether the upstream was unreachable within the last `UNREACHABLE_WINDOW`, and not
+    /// before a response.
+    fn was_unreachable_since(&self, now: Instant, answered_at: Option<Instant>) -> bool {
+        let failed = self.unreachable_at;
+        let failed = failed.filter(|at| now.duration_since(*at) < UNREACHABLE_WINDOW);
+        failed.is_some_and(|at| answered_at.is_none_or(|answered| answered <= at))
+    }
+}
+
 /// Which suspect upstreams to report to other hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
@@ -157,25 +167,26 @@
     /// `UNREACHABLE_WINDOW` and has not responded since.
     pub fn was_unreachable(&self, now: Instant, upstream: &ident::Upstream) -> bool {
         let entry = self.entries.get(upstream);
-        entry.is_some_and(|entry| {
-            let failed = entry.unreachable_at;
-            let failed = failed.filter(|at| now.duration_since(*at) < UNREACHABLE_WINDOW);
-            failed.is_some_and(|at| entry.answered_at.is_none_or(|answered| answered <= at))
-        })
+        entry.is_some_and(|entry| entry.was_unreachable_since(now, entry.answered_at))
     }
 
     /// Returns whether another zone may be partitioned from this host. `upstreams` are those of a
     /// service there, `silence` is the time since any host of the zone sent a message.
+    ///
+    /// A response from the zone proves the opposite: its hosts may all be down, and upstreams that
+    /// failed before it fail one by one.
     pub fn is_zone_cut_off(
         &self,
         now: Instant,
         upstreams: &[&ident::Upstream],
         silence: Option<Duration>,
     ) -> bool {
-        let unreachable = upstreams.iter();
-        let unreachable = unreachable.filter(|it| self.was_unreachable(now, it));
-        unreachable.count() >= MIN_ZONE_FAILURES
-            || silence.is_some_and(|silence| silence > MAX_ZONE_SILENCE)
+        let entries = || upstreams.iter().filter_map(|it| self.entries.get(*it));
+        let answered_at = entries().filter_map(|it| it.answered_at).max();
+        let failures = entries().filter(|it| it.was_unreachable_since(now, answered_at));
+        let is_silent = silence.is_some_and(|silence| silence > MAX_ZONE_SILENCE)
+            && answered_at.is_none_or(|at| now.duration_since(at) > MAX_ZONE_SILENCE);
+        failures.count() >= MIN_ZONE_FAILURES || is_silent
     }
 
     /// Records that a request was sent as a probe.
--- a/tests/gateway_tables.rs
+++ b/tests/gateway_tables.rs
@@ -289,6 +289,36 @@
     assert!(!is_cut_off(&health, None));
 }
 
+/// Guards against a host that sends everything to its own zone because the other hosts are down.
+#[tokio::test(start_paused = true)]
+async fn a_zone_whose_upstreams_respond_is_not_cut_off_when_its_hosts_are_down() {
+    let mut health = health::Table::default();
+    let silence = Some(Duration::from_secs(2));
+    health.record(Instant::now(), &"u3".into(), Observation::Answered);
+    tokio::time::advance(Duration::from_millis(400)).await;
+    assert!(!is_cut_off(&health, silence));
+    tokio::time::advance(Duration::from_millis(100)).await;
+    assert!(is_cut_off(&health, silence));
+}
+
+/// Guards against a host that puts a whole zone aside because two of its upstreams crashed.
+#[tokio::test(start_paused = true)]
+async fn a_zone_with_crashed_upstreams_is_not_cut_off_while_others_respond() {
+    let mut health = health::Table::default();
+    for id in ["u1", "u2", "u4"] {
+        health.record(Instant::now(), &id.into(), Observation::Unreachable);
+    }
+    assert!(is_cut_off(&health, None));
+    tokio::time::advance(Duration::from_millis(10)).await;
+    health.record(Instant::now(), &"u3".into(), Observation::Answered);
+    assert!(!is_cut_off(&health, None));
+    tokio::time::advance(Duration::from_millis(10)).await;
+    for id in ["u1", "u2"] {
+        health.record(Instant::now(), &id.into(), Observation::Unreachable);
+    }
+    assert!(is_cut_off(&health, None));
+}
+
 #[tokio::test(start_paused = true)]
 async fn loads_of_a_silent_host_expire() {
     let mut loads = load::Table::default();
