Refuse late requests that may outlive a host, and answer those that it aborts

In a planned stop in calm, a request whose head came after idle connections were closed was taken whatever its time limit, passed on, and cut without an answer at the end of the grace period, also one that may run once only; so was each other that was still running.

Cause: the shutdown waited for requests and knew when it would end, the requests didn't.

Change: from the moment at which idle connections are closed, a request whose time limit ends later than the host is refused at once (503, not run, with Connection: close); one that ends before is served. At the end of the grace period what still runs is answered with 502 and host-stopped, as it may have run; a stream that has begun ends as truncated. A request whose body hasn't arrived by then is refused as not run.

A new connection without a request is closed at that moment, as before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 use tracing::info;
 
 use crate::framing;
+use crate::gateway::accept::RETRY_AFTER_OTHER_HOST;
 use crate::gateway::accept::accept;
 use crate::gateway::accept::header_text;
 use crate::gateway::attempt::Exchange;
@@ -53,8 +54,15 @@
     let arrived = Instant::now();
     let id = header_text(request.headers(), &state.names.attempt).unwrap_or_default();
     let id = id.to_owned();
-    let result = match accept(&state, request, arrived, &id, handoff).await {
-        Ok(job) => run(&state, job).await,
+    let accepted = state
+        .aborting
+        .run_until_cancelled(accept(&state, request, arrived, &id, handoff));
+    let result = match accepted.await.unwrap_or_else(|| Err(shutting_down())) {
+        Ok(job) if may_outlive(&state, &job) => Err(shutting_down()),
+        Ok(job) => {
+            let result = state.aborting.run_until_cancelled(run(&state, job)).await;
+            result.unwrap_or(Err(Refusal::unknown(Code::HostStopped)))
+        }
         Err(refusal) => Err(refusal),
     };
     let mut response = match result {
@@ -76,6 +84,17 @@
     response
 }
 
+/// Returns the refusal of a request that another host is to serve, as this one shuts down.
+fn shutting_down() -> Refusal {
+    Refusal::not_run(Code::ShuttingDown).with_retry_after(RETRY_AFTER_OTHER_HOST)
+}
+
+/// Returns whether a request that came late in a shutdown may still run when the host exits.
+fn may_outlive(state: &State, job: &Job) -> bool {
+    let aborts_at = state.aborts_at.get();
+    state.closing.is_cancelled() && aborts_at.is_some_and(|at| job.deadline > *at)
+}
+
 async fn run(state: &Arc<State>, job: Job) -> Result<Response<Payload>, Refusal> {
     let job = Arc::new(job);
     match job.route.kind.is_stream() {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -141,26 +141,29 @@
 
 /// Drains requests in flight and stops the gateway's tasks.
 ///
-/// Reports not ready first, so that the load balancer removes the host. Returns how
-/// many requests were still in flight at the end of the grace period.
+/// Reports not ready first, so that the load balancer removes the host. Requests that are
+/// still in flight at the end of the grace period are aborted with a refusal, streams without
+/// their end; returns how many.
 pub async fn drain(state: &Arc<State>) -> usize {
     let started = Instant::now();
     let active = || state.active.load(Ordering::Relaxed);
     let connections = || state.connections.load(Ordering::Relaxed);
     info!(active = active(), "gateway: shutting down");
+    let grace = state.live_options().grace.saturating_sub(GRACE_MARGIN);
+    let aborts_at = *state.aborts_at.get_or_init(|| started + grace);
     state.draining.cancel();
     state.gossip_urgent.notify_one();
     tokio::time::sleep(DEREGISTRATION_DELAY).await;
     state.closing.cancel();
-    let grace = state.live_options().grace.saturating_sub(GRACE_MARGIN);
     // Connections of callers are counted, as a new one may carry a request that has not been
     // read yet. Requests that other hosts hand on have none.
-    while (connections() > 0 || active() > 0) && started.elapsed() < grace {
+    while (connections() > 0 || active() > 0) && Instant::now() < aborts_at {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    let cut = active();
+    state.aborting.cancel();
     // Lets the last response bytes be sent before the process exits.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    let cut = active();
     info!(cut, took_ms = millis(started.elapsed()), "gateway: stopped");
     state.stop.cancel();
     cut
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -31,6 +32,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::boot;
@@ -144,6 +146,10 @@
     pub draining: CancellationToken,
     /// Cancelled when idle connections from callers are to be closed.
     pub closing: CancellationToken,
+    /// Cancelled when requests that still run are aborted, shortly before the process exits.
+    pub aborting: CancellationToken,
+    /// When they are, once the shutdown has begun.
+    pub aborts_at: OnceLock<Instant>,
     /// Cancelled when the process ends.
     pub stop: CancellationToken,
     random: Mutex<StdRng>,
@@ -208,6 +214,8 @@
             connections: AtomicUsize::new(0),
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
+            aborting: CancellationToken::new(),
+            aborts_at: OnceLock::new(),
             stop: CancellationToken::new(),
             random: Mutex::new(random),
             options,
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -110,6 +110,8 @@
     HomeUnreachable,
     /// The connection to the host that the request was handed to failed.
     HostLost,
+    /// The host shut down while the request ran.
+    HostStopped,
     /// Another request with the same token is still running.
     StillRunning,
     /// The connection to the home failed after the request was forwarded.
@@ -212,6 +214,7 @@
             | Self::AnswerCut
             | Self::HomeLost
             | Self::HostLost
+            | Self::HostStopped
             | Self::ForeignAnswer
             | Self::AnswerTooLarge => S::BAD_GATEWAY,
             Self::NoUpstream
--- a/tests/gateway_path/caller.rs
+++ b/tests/gateway_path/caller.rs
@@ -119,6 +119,11 @@
 
 async fn exchange(address: SocketAddr, text: &str) -> Reply {
     let mut stream = TcpStream::connect(address).await.unwrap();
+    read_reply(&mut stream, text).await
+}
+
+/// Sends a request on a connection and reads the response.
+async fn read_reply(stream: &mut TcpStream, text: &str) -> Reply {
     stream.write_all(text.as_bytes()).await.unwrap();
     let mut bytes = Vec::new();
     let read = async {
@@ -178,3 +183,28 @@
     }
     (body, false)
 }
+
+/// A request of which the caller has sent the first half.
+pub struct Half {
+    stream: TcpStream,
+    rest: String,
+}
+
+impl Half {
+    /// Opens a connection and sends the first half of a request with a time limit.
+    pub async fn send(address: SocketAddr, attempt: &str, limit: Duration) -> Self {
+        let usual = format!("x-deadline: {DEADLINE_MS}");
+        let limit = format!("x-deadline: {}", limit.as_millis());
+        let text = request(PATH, attempt, &[]).replacen(&usual, &limit, 1);
+        let (first, rest) = text.split_at(text.len() / 2);
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(first.as_bytes()).await.unwrap();
+        let rest = rest.to_owned();
+        Self { stream, rest }
+    }
+
+    /// Sends the rest and reads the response.
+    pub async fn finish(mut self) -> Reply {
+        read_reply(&mut self.stream, &self.rest).await
+    }
+}
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -29,6 +29,7 @@
 mod refusals;
 mod rest;
 mod settings;
+mod shutdown;
 mod store;
 mod truncation;
 mod upstream;
