Tests: a response whose head is cut at any byte is not returned

Shown not to happen here for the head: cut at each byte, closed or reset, with a length, chunks or neither, in HTTP/1.0 and 1.1, on a new connection and a kept one, for each kind of request: 502 with an unknown outcome, or the whole answer of another upstream.

--- a/tests/gateway_path/truncation.rs
+++ b/tests/gateway_path/truncation.rs
@@ -248,3 +248,71 @@
     })
     .await;
 }
+
+/// Heads of a response in two versions of HTTP, whose bodies have each framing.
+const HEADS: [&str; 4] = [
+    "HTTP/1.1 200 X\r\n{echo}content-length: 6\r\n\r\n",
+    "HTTP/1.1 200 X\r\n{echo}transfer-encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 X\r\n{echo}connection: close\r\n\r\n",
+    "HTTP/1.0 200 X\r\n{echo}\r\n",
+];
+
+/// Length of a head without its last byte, once the identifying headers stand in it.
+fn longest_cut(head: &str) -> usize {
+    let echo = "x-attempt: a1\r\nx-receipt: u1\r\n";
+    head.replace("{echo}", echo).len() - 1
+}
+
+/// Guards against a success with an empty body, framed as whole.
+#[rstest]
+#[case::once(Kind::NonIdempotent)]
+#[case::stream(Kind::Stream)]
+#[tokio::test]
+async fn a_response_whose_head_is_cut_at_any_byte_is_not_returned(
+    #[case] kind: Kind,
+    #[values(End::Close, End::Reset)] end: End,
+) {
+    for text in HEADS {
+        let one = Upstream::start("u1", move |sent| Step::Head { text, sent, end }).await;
+        let host = Host::start(kind, &[&one]).await;
+        for sent in 0..=longest_cut(text) {
+            let reply = caller::send(host.caller, "a1", &[]).await;
+            assert_eq!(reply.status, 502, "{sent} of {text:?}: {}", reply.text());
+            assert_eq!(outcome(&reply), Outcome::Unknown, "{sent} of {text:?}");
+        }
+        assert_eq!(runs(&[&one]), longest_cut(text) + 1);
+    }
+}
+
+/// A connection that is kept may have closed while it was idle, so the request goes elsewhere.
+#[rstest]
+#[case::repeatable(Kind::Idempotent)]
+#[case::resumable(Kind::ResumableStream)]
+#[tokio::test]
+async fn a_response_on_a_kept_connection_whose_head_is_cut_is_replaced(
+    #[case] kind: Kind,
+    #[values(End::Close, End::Reset)] end: End,
+) {
+    let whole = Step::Stream {
+        from: 0,
+        to: 2,
+        truncated: false,
+    };
+    for text in HEADS {
+        for sent in (0..=longest_cut(text)).step_by(7) {
+            let requests: &AtomicUsize = Box::leak(Box::default());
+            let step = move |_| match requests.fetch_add(1, Ordering::Relaxed) {
+                0 | 2 => whole,
+                _ => Step::Head { text, sent, end },
+            };
+            let one = Upstream::start("u1", step).await;
+            let two = Upstream::start("u2", step).await;
+            let host = Host::start(kind, &[&one, &two]).await;
+            for attempt in ["a1", "a2"] {
+                let reply = caller::send(host.caller, attempt, &[]).await;
+                let is_whole = reply.is_complete && reply.body == upstream::events(0, 2);
+                assert!(is_whole, "{sent} of {text:?}: {}", reply.text());
+            }
+        }
+    }
+}
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -75,6 +75,15 @@
         /// How the connection ends.
         end: End,
     },
+    /// Sends the first bytes of a response, then ends the connection.
+    Head {
+        /// The response, in which `{echo}` stands for the identifying headers.
+        text: &'static str,
+        /// Number of bytes that are sent.
+        sent: usize,
+        /// How the connection ends.
+        end: End,
+    },
     /// Sends bytes until the gateway disconnects: some at once, then some now and then.
     Endless {
         /// The beginning of the response, from the headers that frame it on.
@@ -392,6 +401,13 @@
                 end.apply(stream).unwrap();
                 return;
             }
+            Step::Head { text, sent, end } => {
+                let text = text.replace("{echo}", &echo);
+                let first = &text.as_bytes()[..sent.min(text.len())];
+                let _sent = stream.write_all(first).await;
+                end.apply(stream).unwrap();
+                return;
+            }
             Step::Endless { head, text, burst } => {
                 let head = head.replace("{echo}", &echo);
                 let _sent = stream.write_all(head.as_bytes()).await;
