--- a/tests/gateway_path/caller.rs
+++ b/tests/gateway_path/caller.rs
@@ -99,6 +99,14 @@
     result.await.is_ok()
 }
 
+/// Sends a request and reads nothing of the response for a time.
+pub async fn send_unread(address: SocketAddr, attempt: &str, time: Duration) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let text = request(PATH, attempt, &[]);
+    stream.write_all(text.as_bytes()).await.unwrap();
+    tokio::time::sleep(time).await;
+}
+
 /// Sends a request of HTTP/1.0, in which a body ends with its connection. Returns the body,
 /// or the error of a connection that doesn't close in order.
 pub async fn send_http_1_0(address: SocketAddr, attempt: &str) -> io::Result<Vec<u8>> {
--- a/tests/gateway_path/endless.rs
+++ b/tests/gateway_path/endless.rs
@@ -102,3 +102,21 @@
     assert_eq!(reply.status, 502);
     assert!(sent.elapsed() < Duration::from_millis(DEADLINE_MS / 2));
 }
+
+/// Guards against a host that keeps what its caller doesn't take.
+#[rstest]
+#[case::comments(": a\n\n")]
+#[case::events("data: a\n\n")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_end_that_nobody_reads_is_not_read(#[case] text: &'static str) {
+    let head = UNFRAMED;
+    let burst = usize::MAX;
+    let one = Upstream::start("u1", move |_| Step::Endless { head, text, burst }).await;
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    caller::send_unread(host.caller, "a1", Duration::from_secs(1)).await;
+    assert!(
+        one.endless_bytes() < MAX_READ_BYTES,
+        "{}",
+        one.endless_bytes()
+    );
+}
