Spread requests over engines whose slots are all taken, too

Callers waited there while others came free. Now one is drawn as below the caps; with exact counts the choice is the same. The case of late counts failed before.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -191,7 +191,7 @@
 ///
 /// Of the engines below their caps, it takes one that holds the prefix, the caller's zone
 /// first and the least loaded if counts are recent, or else the first in the prefix's
-/// rendezvous order. If all are above their caps, it takes the least loaded, up to two
+/// rendezvous order. If all are above their caps, it takes one of the least loaded, up to two
 /// requests per slot and the load that users allow. Unless `may_probe`, an upstream that is
 /// due for a probe is used only if no healthy one remains. `draw` is uniform in 0..1.
 pub fn engine(
@@ -247,17 +247,28 @@
             .or_else(|draw| ranked(is_local, draw)),
         false => Err(draw),
     };
-    let chosen = chosen.or_else(|draw| ranked(!is_local, draw)).ok();
-    let least_loaded = || {
-        let least_loaded = allowed.iter().min_by_key(|(_, it)| it.load);
-        least_loaded.map(|(index, _)| *index)
-    };
-    match chosen.or_else(least_loaded) {
-        Some(index) => Choice::Send(index),
-        None => Choice::Wait,
+    let chosen = chosen
+        .or_else(|draw| ranked(!is_local, draw))
+        .or_else(|draw| queued(&allowed, draw));
+    match chosen {
+        Ok(index) => Choice::Send(index),
+        Err(_) => Choice::Wait,
     }
 }
 
+/// Chooses an engine when all are above their caps: one of the least loaded, up to two requests
+/// per slot.
+fn queued(pool: &[Indexed<'_, '_>], draw: f64) -> Result<usize, f64> {
+    let loads = pool.iter().map(|(_, it)| spread::Load {
+        known: f64::from(it.load),
+        unseen: it.unseen,
+        cap: f64::from(it.slots) * 2.0,
+        step: 1.0,
+    });
+    let at = spread::choose(&loads.collect::<Vec<_>>(), draw)?;
+    pool.get(at).map(|(index, _)| *index).ok_or(draw)
+}
+
 /// Returns the engines of the caller's zone, or all.
 fn in_zone<'a, 'b>(is_local: bool, pool: &[Indexed<'a, 'b>]) -> Vec<Indexed<'a, 'b>> {
     let pool = pool.iter().filter(|(_, it)| !is_local || it.is_local);
--- a/tests/gateway_placement.rs
+++ b/tests/gateway_placement.rs
@@ -253,6 +253,38 @@
     assert!(matches!(plain(0.0, &all, true), Choice::Send(at) if at > 0));
 }
 
+/// Engines whose slots are all taken have room for as many requests that wait there.
+#[rstest]
+#[case::exact_counts(0.0, 1)]
+#[case::late_counts(8.0, 5)]
+fn hosts_with_late_counts_do_not_all_queue_at_the_least_loaded_engine(
+    #[case] unseen: f64,
+    #[case] expected: usize,
+) {
+    let ids = ids(5);
+    let mut all = candidates(&ids);
+    for (load, candidate) in (16_u32..).zip(&mut all) {
+        candidate.slots = 16;
+        candidate.load = load;
+        candidate.unseen = unseen;
+    }
+    let prompt = Prompt {
+        key: 1,
+        tokens: LONG_PROMPT_TOKENS,
+    };
+    let draws = (0..100).map(|draw| f64::from(draw) / 100.0);
+    let chosen = draws.map(|draw| placement::engine(prompt, same(18.0), &all, true, draw));
+    let mut counts = [0; 5];
+    for choice in chosen {
+        let Choice::Send(at) = choice else {
+            panic!("no engine");
+        };
+        counts[at] += 1;
+    }
+    let used = counts.iter().filter(|count| **count > 0).count();
+    assert_eq!(used, expected, "{counts:?}");
+}
+
 /// Requests to a plain upstream are shorter than the time in which hosts learn of each other's.
 #[test]
 fn hosts_with_late_counts_do_not_all_choose_the_same_plain_upstream() {
