Bound urgent gossip by the slowest link, and divide idle connections among hosts

Cause: each suspect upstream, moved prompt and lost service starts a round of gossip 20 ms after the one before. With 81 hosts a round is 37 datagrams of up to 1.4 KB, so news all the time took 2.6 MB/s of links of 1.25 MB/s. Connections timed out, upstreams became suspect, requests were handed to other hosts, and each of these was news again. Each host also kept up to 16 idle connections to an upstream that accepts 550 from 81 hosts.

Change: the time to an urgent round follows from the bytes of the last one and the slowest link of the live hosts (a fifth of it). All hosts together keep 16 idle connections per slot of an upstream, at least one each.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -37,6 +37,10 @@
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// Idle connections per slot that all hosts together keep to an upstream, unless there are more
+/// hosts than that. An upstream resets those beyond its limit, with the requests on them.
+const IDLE_CONNECTIONS_PER_SLOT: usize = 16;
+
 /// TCP user timeout: a connection is closed when sent data or keep-alive probes stay
 /// unacknowledged for this time, as a network path may fail without a reset. On Linux it also
 /// decides when keep-alive probes give up, whatever their number.
@@ -126,14 +130,14 @@
         }
     }
 
-    /// Returns a connection to the pool. Its last response must have been read to the
-    /// end.
-    pub fn release(&self, now: Instant, mut connection: Connection) {
+    /// Returns a connection to the pool, which keeps up to `limit` idle ones to an address. Its
+    /// last response must have been read to the end.
+    pub fn release(&self, now: Instant, mut connection: Connection, limit: usize) {
         connection.idle_since = now;
         connection.is_reused = true;
         let mut idle = lock(&self.idle);
         let connections = idle.entry(connection.address).or_default();
-        if connections.len() < MAX_IDLE_CONNECTIONS {
+        if connections.len() < limit {
             connections.push(connection);
         }
     }
@@ -155,6 +159,18 @@
     }
 }
 
+/// Returns how many idle connections a host keeps to an upstream with this many slots, or to
+/// another host, which has none. `hosts` is the size of the fleet, if it is known.
+pub fn idle_limit(slots: u32, hosts: Option<usize>) -> usize {
+    match (slots, hosts) {
+        (0, _) | (_, None) => MAX_IDLE_CONNECTIONS,
+        (slots, Some(hosts)) => {
+            let total = (slots as usize).saturating_mul(IDLE_CONNECTIONS_PER_SLOT);
+            total.div_ceil(hosts.max(1)).clamp(1, MAX_IDLE_CONNECTIONS)
+        }
+    }
+}
+
 fn is_usable(now: Instant, connection: &Connection) -> bool {
     now.duration_since(connection.idle_since) < IDLE_TIMEOUT && !connection.sender.is_closed()
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -214,7 +214,7 @@
         return Err(Code::AnswerCut);
     }
     let now = Instant::now();
-    state.pool.release(now, connection);
+    state.release_connection(connection, record.upstream.slots);
     let observation = match parts.status.is_server_error() {
         true => Observation::Failed,
         false => Observation::Answered,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,6 +5,7 @@
 //! recipients of each round come from [`relay`]. The versions that began streams are sent
 //! at once, to the hosts that [`origin`] selects.
 
+pub mod pace;
 mod receive;
 
 use std::collections::BTreeMap;
@@ -30,6 +31,7 @@
 use crate::gateway::datagram::Sender;
 use crate::gateway::datagram::Summary;
 use crate::gateway::datagram::format::Encoded;
+use crate::gateway::gossip::pace::Round;
 use crate::gateway::gossip::receive::receive;
 use crate::gateway::health::Scope;
 use crate::gateway::origin;
@@ -52,22 +54,12 @@
 /// Number of suspects by which each message begins later than the one before.
 const SUSPECTS_STEP: usize = 8;
 
-/// Maximum rate of datagrams that a host sends. Rounds are less frequent in larger
-/// fleets.
-const DATAGRAMS_PER_SECOND: f64 = 60.0;
-
 /// Delay of a round from which on the host counts as suspended. A busy host is late by less.
 const MIN_SUSPENSION: Duration = Duration::from_millis(500);
 
 /// Time in which the datagrams that arrived during a suspension are read.
 const BACKLOG_TIME: Duration = Duration::from_millis(200);
 
-/// Minimum time between rounds while updates are urgent.
-const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Maximum rate of datagrams that a host sends while updates are urgent.
-const URGENT_DATAGRAMS_PER_SECOND: f64 = 1_000.0;
-
 /// Sends and receives datagrams until the process stops.
 pub async fn run(state: Arc<State>, socket: UdpSocket) {
     let mut buffer = vec![0; 64 * 1024];
@@ -91,8 +83,9 @@
             () = tokio::time::sleep_until(next) => {
                 backlog.observe(Instant::now(), next);
                 let sent = send(&state, &socket, &mut relay).await;
-                next = Instant::now() + interval(&state, sent.count);
-                earliest = Instant::now() + urgent_interval(&sent);
+                let now = Instant::now();
+                next = now + sent.interval(state.live_options().gossip_pause);
+                earliest = now + sent.urgent_interval(slowest_link(&state, now));
             }
             () = state.gossip_urgent.notified() => next = next.min(earliest),
             () = state.origin_recorded.notified() => send_origins(&state, &socket).await,
@@ -128,23 +121,15 @@
     }
 }
 
-/// Returns the time to the next round after one with this many recipients.
-fn interval(state: &State, hosts: usize) -> Duration {
-    let minimum = state.live_options().gossip_pause;
-    minimum.max(Duration::from_secs_f64(hosts as f64 / DATAGRAMS_PER_SECOND))
-}
-
-/// Returns the minimum time to the next round while updates are urgent.
-fn urgent_interval(sent: &Sent) -> Duration {
-    let interval = Duration::from_secs_f64(sent.count as f64 / URGENT_DATAGRAMS_PER_SECOND);
-    match sent.is_relayed {
-        true => MIN_URGENT_INTERVAL.max(interval),
-        false => MIN_URGENT_INTERVAL,
-    }
+/// Returns the speed of the slowest link of this host and those that it exchanges gossip with.
+fn slowest_link(state: &State, now: Instant) -> u32 {
+    let own = state.live_options().link_mbps;
+    let slowest = lock(&state.peers).slowest_link(now);
+    slowest.map_or(own, |link| link.min(own))
 }
 
 /// Sends the messages and summaries of one round.
-async fn send(state: &State, socket: &UdpSocket, relay: &mut Relay) -> Sent {
+async fn send(state: &State, socket: &UdpSocket, relay: &mut Relay) -> Round {
     let now = Instant::now();
     lock(&state.loads).expire(now);
     let (recipients, is_relayed, is_settling) = {
@@ -161,11 +146,16 @@
         starting,
         summary,
     } = &recipients;
-    let count = direct.len() + remote.len() + starting.len() + summary.len();
+    let mut sent = Round {
+        recipients: direct.len() + remote.len() + starting.len() + summary.len(),
+        bytes: 0,
+        is_relayed,
+    };
     let placements = lock(&state.prefix_cache).take_updates();
     let recent = relay.record_own(&placements);
     let mut full = message(state, now, round, placements, Selection::Sample);
     if let Some(bytes) = encode(state, now, &mut full) {
+        sent.add(bytes.len(), direct.len());
         let mut encoded = Encoded::new(&bytes);
         for address in direct {
             send_to(state, socket, *address, &mut encoded).await;
@@ -178,6 +168,7 @@
             &mut message(state, now, round, recent, Selection::Sample),
         )
     {
+        sent.add(bytes.len(), remote.len());
         let mut encoded = Encoded::new(&bytes);
         for address in remote {
             send_to(state, socket, *address, &mut encoded).await;
@@ -190,6 +181,7 @@
             message.report.loads.clear();
         }
         if let Some(bytes) = encode(state, now, &mut message) {
+            sent.add(bytes.len(), 1);
             send_to(state, socket, *address, &mut Encoded::new(&bytes)).await;
         }
     }
@@ -198,11 +190,12 @@
         for (index, bytes) in datagrams.iter().enumerate() {
             let mut encoded = Encoded::new(bytes);
             for address in recipients.summary_hosts(index) {
+                sent.add(bytes.len(), 1);
                 send_to(state, socket, address, &mut encoded).await;
             }
         }
     }
-    Sent { count, is_relayed }
+    sent
 }
 
 /// Tells other hosts which versions began streams at this host.
@@ -232,14 +225,6 @@
     }
 }
 
-/// Result of a round.
-struct Sent {
-    /// Number of recipients.
-    count: usize,
-    /// Whether the fleet is so large that zones exchange summaries.
-    is_relayed: bool,
-}
-
 /// Forwards a summary of another zone to the hosts of this zone.
 async fn forward(state: &State, socket: &UdpSocket, bytes: &[u8]) {
     let hosts: Vec<Ipv4Addr> = {
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -252,7 +252,7 @@
         if refusal.outcome == Outcome::NotRun {
             history.runs -= 1;
         }
-        state.pool.release(Instant::now(), connection);
+        state.release_connection(connection, 0);
         return Err(Loss::Refused(refusal));
     };
     if let Some(listed) = state.view().upstream(&record.upstream.id) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -277,6 +277,12 @@
         })
     }
 
+    /// Returns the speed of the slowest link of the live hosts in Mbit/s; `None` if none is known.
+    pub fn slowest_link(&self, now: Instant) -> Option<u32> {
+        let links = self.live(now).map(|(_, peer)| peer.link_mbps);
+        links.filter(|link| *link > 0).min()
+    }
+
     /// Returns what this host knows of others when it starts.
     pub fn others(&mut self, now: Instant) -> Others {
         let joined = self.live(now).filter(|(_, peer)| peer.has_joined);
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -234,7 +234,7 @@
         let result = connection.as_ref().map(|_| ());
         self::record(state, &record.upstream, result);
         if let Ok(connection) = connection {
-            state.pool.release(Instant::now(), connection);
+            state.release_connection(connection, record.upstream.slots);
         }
     });
     join_all(probes).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -263,6 +263,15 @@
         has_table && self.has_fresh_keys(now) && !self.draining.is_cancelled()
     }
 
+    /// Returns a connection to the pool, to an upstream with this many slots, or to another host,
+    /// which has none. The last response on it must have been read to the end.
+    pub fn release_connection(&self, connection: connection::Connection, slots: u32) {
+        let now = Instant::now();
+        let hosts = lock(&self.peers).fleet_size(now);
+        let limit = connection::idle_limit(slots, hosts);
+        self.pool.release(now, connection, limit);
+    }
+
     /// Returns a uniformly distributed random number in `0..1`.
     pub fn random_fraction(&self) -> f64 {
         lock(&self.random).random()
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -333,7 +333,8 @@
         }
         lock(&self.state.crashes).clear(now, self.job.fingerprint);
         crash::record_answer(&self.state, &self.job);
-        self.state.pool.release(now, exchange.connection);
+        let slots = exchange.record.upstream.slots;
+        self.state.release_connection(exchange.connection, slots);
         self.state.meter.streamed(
             self.job.route.kind,
             self.first_event_after,
