Read bounds of the platform as fractions, or as absent

Cause: deploy/settings.toml changed the unit of graceS and retryWindowS by appending 000, and the schema took whole numbers only, so 7.5 kept every host from starting. An absent bound was a syntax error, and a fraction of revokeMs was refused.

Ruled out: a schema that takes `7.5000`, as it would read 7.5 ms; arrays and multiplication in the template, which can't leave out a key.

Change: grace_s and retry_window_s beside the keys in milliseconds (both given: given-twice); numbers between quotes in the template, which the schema's x-text reads, an empty one as not given. What is out of range is refused with key, value and range (not-a-number for a text), and a running host keeps all of its settings. grace_ms may be below 1000. link_mbps is at least 1, not 0. limit::Bucket::wait no longer panics on a tiny limit.

tests/samples.rs: the new keys are commented out in the sample, as the others set the same things; the test that the sample contains every key uncomments them as it does statsd.

The new tests were not run on the code before.

--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -123,7 +123,10 @@
     pub gossip_port: ::std::option::Option<::std::num::NonZeroU16>,
     #[doc = "The time from the signal to leave until the process is killed."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub grace_ms: ::std::option::Option<u64>,
+    pub grace_ms: ::std::option::Option<f64>,
+    #[doc = "The same in seconds; only one of the two is given."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub grace_s: ::std::option::Option<f64>,
     #[doc = "The speed of this host's link, in Mbit/s."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub link_mbps: ::std::option::Option<f64>,
@@ -138,10 +141,13 @@
     pub retry_slack: ::std::option::Option<f64>,
     #[doc = "The window in which retries are counted."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub retry_window_ms: ::std::option::Option<u64>,
+    pub retry_window_ms: ::std::option::Option<f64>,
+    #[doc = "The same in seconds; only one of the two is given."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_window_s: ::std::option::Option<f64>,
     #[doc = "How long after a key was taken away it may still be used."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub revocation_ms: ::std::option::Option<u64>,
+    pub revocation_ms: ::std::option::Option<f64>,
 }
 #[doc = "Who a host is and where it listens."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
--- a/src/check.rs
+++ b/src/check.rs
@@ -4,6 +4,7 @@
 pub(crate) mod cross;
 pub(crate) mod document;
 mod fault;
+mod fill;
 mod kind;
 mod lines;
 pub(crate) mod locate;
--- a/src/check/document.rs
+++ b/src/check/document.rs
@@ -14,6 +14,7 @@
 #[derive(Clone, Debug)]
 pub struct Document<'a> {
     tree: Tree<'a>,
+    schema: Schema,
     faults: Vec<Fault>,
 }
 
@@ -25,7 +26,11 @@
             Schema::parse(schema).map_err(|error| vec![schema_mismatch(&error.to_string())])?;
         let tree = Tree::parse(text)?;
         let faults = validate::check(&schema, &tree.root());
-        Ok(Self { tree, faults })
+        Ok(Self {
+            tree,
+            schema,
+            faults,
+        })
     }
 
     /// Parses a value that is stored on the platform, which limits its size.
@@ -53,10 +58,11 @@
     /// of the text.
     pub fn convert<T: DeserializeOwned>(mut self) -> Result<T, Vec<Fault>> {
         if self.faults.is_empty() {
-            return self
-                .tree
-                .convert()
-                .map_err(|error| vec![schema_mismatch(error.message())]);
+            let converted = match self.schema.accepts_text() {
+                true => self.tree.convert_filled(&self.schema),
+                false => self.tree.convert(),
+            };
+            return converted.map_err(|error| vec![schema_mismatch(error.message())]);
         }
         self.faults.sort_by(|a, b| a.place.cmp(&b.place));
         Err(self.faults)
--- a/src/check/kind.rs
+++ b/src/check/kind.rs
@@ -59,6 +59,22 @@
         /// The maximum.
         max: f64,
     },
+    /// The text is not a number.
+    #[error("is {value:?}, expected a number from {min} to {max} or an empty text")]
+    NotANumber {
+        /// The text found.
+        value: String,
+        /// The minimum.
+        min: f64,
+        /// The maximum.
+        max: f64,
+    },
+    /// Two keys set the same thing in different units.
+    #[error("is given beside {other}, expected only one of them")]
+    GivenTwice {
+        /// The other key.
+        other: &'static str,
+    },
     /// The list or text is empty.
     #[error("is empty")]
     Empty,
--- a/src/check/schema.rs
+++ b/src/check/schema.rs
@@ -75,6 +75,10 @@
     pub minimum: f64,
     /// The largest accepted number.
     pub maximum: f64,
+    /// Whether a text with a number in the range is accepted too, as a template may fill it in.
+    /// An empty text then counts as if the key was not given.
+    #[serde(default, rename = "x-text")]
+    pub accepts_text: bool,
 }
 
 /// The format of a string.
@@ -97,6 +101,16 @@
         serde_json::from_str(text)
     }
 
+    /// Returns whether any number may be given as a text.
+    pub fn accepts_text(&self) -> bool {
+        let tables = self.definitions.values().filter_map(|shape| match shape {
+            Shape::Inline(Type::Object(table)) => Some(table),
+            Shape::Inline(_) | Shape::Reference { .. } => None,
+        });
+        let mut shapes = tables.flat_map(|table| table.properties.values());
+        shapes.any(|shape| matches!(shape, Shape::Inline(ty) if ty.accepts_text()))
+    }
+
     /// Resolves references. Returns `None` if a definition is missing.
     pub fn resolve<'a>(&'a self, shape: &'a Shape) -> Option<&'a Type> {
         match shape {
@@ -110,6 +124,11 @@
 }
 
 impl Type {
+    /// Returns whether a text may stand in place of a number.
+    pub fn accepts_text(&self) -> bool {
+        matches!(self, Self::Integer(range) | Self::Number(range) if range.accepts_text)
+    }
+
     /// Returns the name of the type in TOML.
     pub fn type_name(&self) -> &'static str {
         match self {
--- a/src/check/tree.rs
+++ b/src/check/tree.rs
@@ -8,7 +8,9 @@
 use crate::check::Fault;
 use crate::check::Kind;
 use crate::check::Place;
+use crate::check::fill;
 use crate::check::lines::Lines;
+use crate::check::schema::Schema;
 
 /// The keys whose value names an item of a list.
 const NAME_KEYS: [&str; 2] = ["name", "upstream"];
@@ -48,6 +50,16 @@
         Ok(Self { lines, root })
     }
 
+    /// Converts the text to a Rust type, after numbers that are given as texts were read.
+    pub fn convert_filled<T: DeserializeOwned>(
+        self,
+        schema: &Schema,
+    ) -> Result<T, toml::de::Error> {
+        let mut value: toml::Value = self.convert()?;
+        fill::numbers(schema, &schema.root, &mut value);
+        T::deserialize(value)
+    }
+
     /// Returns the root table.
     pub fn root(&self) -> Node<'_> {
         Node {
--- a/src/check/validate.rs
+++ b/src/check/validate.rs
@@ -91,6 +91,9 @@
             range_fault(*range, integer(found))
         }
         (Type::Number(range), DeValue::Float(found)) => range_fault(*range, float(found)),
+        (Type::Number(range), DeValue::String(found)) if range.accepts_text => {
+            text_fault(*range, found)
+        }
         (Type::Boolean, DeValue::Boolean(_)) => None,
         (ty, value) => Some(Kind::WrongType {
             found: value.type_str(),
@@ -99,6 +102,20 @@
     }
 }
 
+fn text_fault(range: Range, found: &str) -> Option<Kind> {
+    match found.trim() {
+        "" => None,
+        text => match text.parse() {
+            Ok(value) => range_fault(range, value),
+            Err(_) => Some(Kind::NotANumber {
+                value: found.to_owned(),
+                min: range.minimum,
+                max: range.maximum,
+            }),
+        },
+    }
+}
+
 fn range_fault(range: Range, value: f64) -> Option<Kind> {
     match range.contains(value) {
         true => None,
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -19,6 +19,10 @@
 /// Time in which a host may save up requests, if that is more than one.
 const BURST: Duration = Duration::from_millis(300);
 
+/// Longest wait that is told apart from longer ones. A duration can't represent those of the
+/// smallest rates that an upstream may name.
+const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
+
 /// How long a share is used before it is computed again.
 const SHARE_LIFETIME: Duration = Duration::from_secs(1);
 
@@ -98,7 +102,10 @@
         let missing = 1.0 - self.tokens_at(now);
         match missing {
             missing if missing <= 0.0 => Some(Duration::ZERO),
-            missing if self.rate > 0.0 => Some(Duration::from_secs_f64(missing / self.rate)),
+            missing if self.rate > 0.0 => {
+                let wait = Duration::try_from_secs_f64(missing / self.rate);
+                Some(wait.unwrap_or(MAX_WAIT).min(MAX_WAIT))
+            }
             _ => None,
         }
     }
--- a/src/options/convert.rs
+++ b/src/options/convert.rs
@@ -5,11 +5,22 @@
 
 use crate::border::settings::Address;
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// Converts milliseconds to a duration.
 pub fn duration(from: Option<impl Into<u64>>, default: Duration) -> Duration {
     from.map_or(default, |millis| Duration::from_millis(millis.into()))
 }
 
+/// Converts a number of milliseconds that may be a fraction, or one of seconds if that is given.
+pub fn decimal_duration(millis: Option<f64>, seconds: Option<f64>, default: Duration) -> Duration {
+    let seconds = seconds.or(millis.map(|millis| millis / MILLIS_PER_SECOND));
+    seconds.map_or(default, |seconds| {
+        // The ranges in the schema exclude what a duration can't represent.
+        Duration::try_from_secs_f64(seconds).unwrap_or(default)
+    })
+}
+
 /// Converts a count or a size in memory, saturating at [`usize::MAX`].
 pub fn count(from: Option<impl Into<u64>>, default: usize) -> usize {
     from.map_or(default, |count| {
--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -5,6 +5,7 @@
 use crate::border::settings as border;
 use crate::gateway::retry_budget;
 use crate::options::constants;
+use crate::options::convert::decimal_duration;
 use crate::options::convert::duration;
 
 /// Settings of a gateway. Limits on upstreams apply to the sum over all hosts.
@@ -30,8 +31,8 @@
     pub cold_overage: f64,
     /// The additional starts per second that a cold upstream may get.
     pub cold_slack: f64,
-    /// The speed of this host's network link, in Mbit/s. Hosts with fast links relay the
-    /// content of the store.
+    /// The speed of this host's network link, in Mbit/s, at least 1. Hosts with fast links relay
+    /// the content of the store.
     pub link_mbps: u32,
     /// Whether the whole fleet starts for the first time, so that no upstream has cached
     /// prompts yet.
@@ -85,16 +86,20 @@
                 .map_or(defaults.ready_path, |path| path.to_string()),
             gossip_port: from.gossip_port.map_or(defaults.gossip_port, Into::into),
             gossip_pause: duration(from.gossip_pause_ms, defaults.gossip_pause),
-            revocation: duration(from.revocation_ms, defaults.revocation),
-            grace: duration(from.grace_ms, defaults.grace),
+            revocation: decimal_duration(from.revocation_ms, None, defaults.revocation),
+            grace: decimal_duration(from.grace_ms, from.grace_s, defaults.grace),
             retry_ratio: from.retry_ratio.unwrap_or(defaults.retry_ratio),
             retry_slack: from.retry_slack.unwrap_or(defaults.retry_slack),
-            retry_window: duration(from.retry_window_ms, defaults.retry_window),
+            retry_window: decimal_duration(
+                from.retry_window_ms,
+                from.retry_window_s,
+                defaults.retry_window,
+            ),
             cold_overage: from.cold_overage.unwrap_or(defaults.cold_overage),
             cold_slack: from.cold_slack.unwrap_or(defaults.cold_slack),
             link_mbps: from
                 .link_mbps
-                .map_or(defaults.link_mbps, |speed| speed as u32),
+                .map_or(defaults.link_mbps, |speed| (speed.round() as u32).max(1)),
             first_start: from.first_start.unwrap_or(defaults.first_start),
         }
     }
--- a/src/options/pair.rs
+++ b/src/options/pair.rs
@@ -104,14 +104,55 @@
     },
 ];
 
+/// A section and two keys of it that set the same thing in different units.
+#[derive(Clone, Copy, Debug)]
+struct Units {
+    section: &'static str,
+    millis: &'static str,
+    seconds: &'static str,
+    /// The first key with its section.
+    millis_name: &'static str,
+}
+
+const UNITS: [Units; 2] = [
+    Units {
+        section: "gateway",
+        millis: "grace_ms",
+        seconds: "grace_s",
+        millis_name: "gateway.grace_ms",
+    },
+    Units {
+        section: "gateway",
+        millis: "retry_window_ms",
+        seconds: "retry_window_s",
+        millis_name: "gateway.retry_window_ms",
+    },
+];
+
 const fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
 
-/// Returns a fault for each pair that is out of order, and for a lease that is too short.
+/// Returns a fault for each pair that is out of order, for a lease that is too short, and for each
+/// setting that is given in two units.
 pub fn faults(root: &Node<'_>) -> Vec<Fault> {
     let pairs = PAIRS.iter().filter_map(|pair| check_pair(root, pair));
-    pairs.chain(check_lease(root)).collect()
+    let twice = UNITS.iter().filter_map(|units| check_units(root, units));
+    pairs.chain(check_lease(root)).chain(twice).collect()
+}
+
+fn check_units(root: &Node<'_>, units: &Units) -> Option<Fault> {
+    let section = root.get(units.section)?;
+    section.get(units.millis).filter(is_given)?;
+    let seconds = section.get(units.seconds).filter(is_given)?;
+    Some(seconds.fault(Kind::GivenTwice {
+        other: units.millis_name,
+    }))
+}
+
+/// Returns whether a number is given: a template leaves an empty text for one that is absent.
+fn is_given(node: &Node<'_>) -> bool {
+    node.text().is_none_or(|text| !text.trim().is_empty())
 }
 
 fn check_pair(root: &Node<'_>, pair: &Pair) -> Option<Fault> {
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -86,6 +86,19 @@
     hosts.clone().map(rank).collect()
 }
 
+/// Guards against a panic for each request to an upstream whose limit is too small for a duration.
+#[rstest]
+#[case(2e-23)]
+#[case(f64::MIN_POSITIVE)]
+#[case(1e-9)]
+fn the_wait_for_a_tiny_share_is_finite(#[case] limit: f64) {
+    let now = Instant::now();
+    let bucket = Bucket::new(now, limit, limit::share(limit, 9, 1, false));
+    let wait = bucket.wait(now).unwrap_or_default();
+    assert!(wait > Duration::from_secs(3_600), "{wait:?}");
+    assert_eq!(bucket.available(now + wait), 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(5),
--- a/tests/gateway_path/settings.rs
+++ b/tests/gateway_path/settings.rs
@@ -79,6 +79,33 @@
     assert!((host.state.live_options().retry_slack - 7.0).abs() < f64::EPSILON);
 }
 
+/// Guards against a running host that takes a part of invalid settings: a bound that it can't read
+/// leaves all of them as they were, and one that is a fraction takes effect.
+#[tokio::test]
+async fn a_bound_that_is_refused_changes_nothing_and_a_fraction_takes_effect() {
+    let host = Host::start(Kind::Idempotent, &[]).await;
+    let file = File::new("bounds");
+    let mut reloaded = reload::File::new(file.0.clone(), host::SETTINGS.to_owned());
+    let before = host.state.live_options();
+    for refused in [
+        "grace_s = \"-1\"",
+        "grace_s = \"1e300\"",
+        "retry_window_s = \"0\"",
+        "revocation_ms = \"soon\"",
+        "grace_ms = 8000\ngrace_s = 7.5",
+        "link_mbps = \"-0.5\"",
+    ] {
+        file.write(&settings(&format!("retry_ratio = 0.7\n{refused}")));
+        reloaded.poll(&host.state);
+        assert_eq!(host.state.live_options(), before, "{refused}");
+    }
+    file.write(&settings("grace_s = \"7.5\"\nretry_window_s = 2.25"));
+    reloaded.poll(&host.state);
+    let options = host.state.live_options();
+    assert_eq!(options.grace, Duration::from_millis(7_500));
+    assert_eq!(options.retry_window, Duration::from_millis(2_250));
+}
+
 #[rstest]
 #[case::bound("retry_ratio = 0.5", &["gateway"], &[])]
 #[case::path("ready_path = \"/other\"", &["gateway"], &["gateway.ready_path"])]
--- a/tests/samples.rs
+++ b/tests/samples.rs
@@ -30,7 +30,7 @@
 const RULES: &str = include_str!("../settings/rules.toml");
 
 /// The schema keywords that the checks or the type generator support.
-const KEYWORDS: [&str; 16] = [
+const KEYWORDS: [&str; 17] = [
     "$ref",
     "$schema",
     "additionalProperties",
@@ -47,6 +47,7 @@
     "title",
     "type",
     "x-rust-type",
+    "x-text",
 ];
 
 #[test]
@@ -70,7 +71,11 @@
 #[test]
 fn the_sample_settings_contain_every_key() {
     let schema: Value = serde_json::from_str(include_str!("../schema/settings.json")).unwrap();
-    let sample: toml::Table = SETTINGS.replace("# statsd", "statsd").parse().unwrap();
+    let mut sample = SETTINGS.to_owned();
+    for commented in ["statsd", "grace_s", "retry_window_s"] {
+        sample = sample.replace(&format!("# {commented} ="), &format!("{commented} ="));
+    }
+    let sample: toml::Table = sample.parse().unwrap();
     for (section, reference) in schema["properties"].as_object().unwrap() {
         let pointer = &reference["$ref"].as_str().unwrap()[1..];
         let object = schema.pointer(pointer).unwrap();
