Confirm the end of a response that ends with its connection

Cause: the system closes the connections of a killed process in order, and gateway::stream and forward::collect took an orderly end for the end of a body with neither length nor chunks.

Ruled out: a request at a second upstream for each end of a resumable stream (one more request with its whole prompt and one of the 0.2 retries per request); a health request (tells no more than a connection that stays open); a connection that is merely accepted (a listener that closes last accepts it).

Change: such an end counts only if the upstream is listed as before, accepts a connection and keeps it open for 50 ms (gateway::liveness); the connection then goes to the pool. Otherwise a resumable stream goes on elsewhere within the retry budget and the attempts of its route, any other is cut, and a plain answer is repeated or of unknown outcome. A JSON object, list or text needs no confirmation. An answer without framing that resumes a stream may be empty; two of them confirm the end after a crash, one after an upstream that leaves.

--- a/src/framing.rs
+++ b/src/framing.rs
@@ -81,6 +81,18 @@
     }
 }
 
+/// Returns whether the end of a body that looks complete may be that of its upstream's process.
+///
+/// A body that ends with its connection ends in order, too, when the process was killed. Only the
+/// end of a JSON text shows that nothing is missing; that of a number doesn't.
+pub fn may_be_cut(framing: Framing, headers: &HeaderMap, body: &[u8]) -> bool {
+    let is_delimited = match Content::of(headers) {
+        Some(Content::Json) => matches!(body.trim_ascii_start().first(), Some(b'{' | b'[' | b'"')),
+        Some(Content::Events | Content::Opaque) | None => false,
+    };
+    framing == Framing::Close && !is_delimited
+}
+
 /// Returns whether an event stream whose body has ended without an error is complete, by
 /// the position of its end.
 pub fn ends_between_events(framing: Framing, position: Position) -> bool {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -28,6 +28,7 @@
 pub mod join;
 pub mod limit;
 pub mod listen;
+pub mod liveness;
 pub mod load;
 pub mod metrics;
 pub mod notice;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -89,6 +89,11 @@
 }
 
 impl Connection {
+    /// Returns whether the other end hasn't closed the connection.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the response headers.
     pub async fn send(
         &mut self,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -33,6 +33,7 @@
 use crate::gateway::handoff::Handoff;
 use crate::gateway::health::Observation;
 use crate::gateway::job::Job;
+use crate::gateway::liveness;
 use crate::gateway::refusal;
 use crate::gateway::state::State;
 use crate::gateway::stream;
@@ -189,7 +190,7 @@
 /// pool.
 ///
 /// Fails with the code of the loss if the response is too large, ends early by its framing
-/// or its content, or isn't complete by the deadline.
+/// or its content, may have been cut by a crash, or isn't complete by the deadline.
 pub async fn collect(
     state: &Arc<State>,
     job: &Job,
@@ -213,6 +214,9 @@
         info!(id = job.id, %framing, bytes = body.len(), "request: body ended before its content");
         return Err(Code::AnswerCut);
     }
+    if framing::may_be_cut(framing, &parts.headers, &body) {
+        liveness::confirm(state, job, &record, lease.is_some()).await?;
+    }
     let now = Instant::now();
     state.pool.release(now, connection);
     let observation = match parts.status.is_server_error() {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -33,6 +33,7 @@
 use crate::gateway::forward;
 use crate::gateway::health::Observation;
 use crate::gateway::job::Job;
+use crate::gateway::liveness;
 use crate::gateway::resume;
 use crate::gateway::state::State;
 use crate::ident;
@@ -202,9 +203,9 @@
                         _ => continue,
                     }
                 }
-                Ok(None) if self.is_whole() => match self.is_end_confirmed() {
-                    true => return self.end(),
-                    false => Code::ForeignAnswer,
+                Ok(None) if self.is_whole() => match self.check_end().await {
+                    Ok(()) => return self.end(),
+                    Err(code) => code,
                 },
                 Ok(None | Some(Err(_))) => Code::AnswerCut,
                 Err(_) if Instant::now() >= self.job.deadline => {
@@ -291,7 +292,8 @@
     }
 
     /// Returns whether a stream whose body has ended is complete. An upstream that fails
-    /// may end the body in order, but inside an event or before the first one.
+    /// may end the body in order, but inside an event or before the first one. One that resumes a
+    /// stream may have no events left.
     fn is_whole(&self) -> bool {
         let Some(exchange) = &self.exchange else {
             return false;
@@ -299,7 +301,9 @@
         let framing = exchange.framing;
         let is_whole = match Content::of(&exchange.parts.headers) {
             Some(Content::Events) | None => {
-                framing::ends_between_events(framing, self.splitter.position())
+                let position = self.splitter.position();
+                let has_ended = self.is_resumed && self.has_begun() && !position.is_inside_event();
+                framing::ends_between_events(framing, position) || has_ended
             }
             Some(Content::Json | Content::Opaque) => true,
         };
@@ -311,6 +315,27 @@
         is_whole
     }
 
+    /// Checks the end of a stream that looks complete. Fails with the code of the loss if it may be
+    /// that of the upstream's process.
+    async fn check_end(&mut self) -> Result<(), Code> {
+        let Some(exchange) = &self.exchange else {
+            return Err(Code::UpstreamLost);
+        };
+        if framing::may_be_cut(exchange.framing, &exchange.parts.headers, &[]) {
+            let (record, is_own) = (exchange.record.clone(), exchange.lease.is_some());
+            let confirmed = liveness::confirm(&self.state, &self.job, &record, is_own).await;
+            if confirmed.is_err() && is_own && liveness::is_leaving(&self.state, &record) {
+                // One more upstream without an event left confirms it.
+                self.ended_after = self.last_event;
+            }
+            confirmed?;
+        }
+        match self.is_end_confirmed() {
+            true => Ok(()),
+            false => Err(Code::ForeignAnswer),
+        }
+    }
+
     /// Returns whether the end of the stream can be believed. An upstream that resumes it and sends
     /// no event may have failed, unless a second one does the same.
     fn is_end_confirmed(&mut self) -> bool {
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -32,6 +32,7 @@
 mod shutdown;
 mod store;
 mod truncation;
+mod unframed;
 mod upstream;
 mod versions;
 
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -56,6 +56,12 @@
     /// Ends its process, and with it all connections, after the head of the response. It
     /// refuses connections until it has started again.
     Crash,
+    /// Sends some bytes after the status line and the identifying headers, then ends its process,
+    /// and with it all connections, in order. It refuses connections from then on.
+    CrashForGood(&'static str),
+    /// Sends some bytes after the status line and the identifying headers, and closes the connection
+    /// after a delay.
+    CloseLate(&'static str),
     /// Never responds.
     Hang,
     /// Sends a stream of events.
@@ -131,6 +137,8 @@
     /// Number of bytes of endless responses that were sent.
     endless_bytes: AtomicUsize,
     crashed: Notify,
+    /// Whether it doesn't start again after a crash.
+    is_lost: AtomicBool,
     /// Whether the gateway reset a connection.
     was_reset: AtomicBool,
     /// Header lines that all responses have from now on.
@@ -181,6 +189,11 @@
             loop {
                 accept(id, listener, &shared, step).await;
                 shared.crashes.fetch_add(1, Ordering::Relaxed);
+                if shared.is_lost.load(Ordering::Relaxed) {
+                    // Keeps the port, which another test's upstream could get otherwise.
+                    let _reserved = reserve(address);
+                    return std::future::pending().await;
+                }
                 tokio::time::sleep(RESTART_DELAY).await;
                 listener = TcpListener::bind(address).await.unwrap();
             }
@@ -243,6 +256,7 @@
                 crashes: AtomicUsize::new(0),
                 endless_bytes: AtomicUsize::new(0),
                 crashed: Notify::new(),
+                is_lost: AtomicBool::new(false),
                 was_reset: AtomicBool::new(false),
                 notice: Mutex::default(),
             }),
@@ -285,6 +299,14 @@
     }
 }
 
+/// Binds a socket that doesn't listen.
+fn reserve(address: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(address).unwrap();
+    socket
+}
+
 /// Serves connections until the process ends.
 async fn accept(
     id: &'static str,
@@ -371,6 +393,21 @@
                 std::future::pending::<()>().await;
                 return;
             }
+            Step::CloseLate(text) => {
+                let text = format!("HTTP/1.1 200 X\r\n{echo}{text}");
+                let _sent = stream.write_all(text.as_bytes()).await;
+                tokio::time::sleep(SLOW_DELAY).await;
+                return;
+            }
+            Step::CrashForGood(text) => {
+                let text = format!("HTTP/1.1 200 X\r\n{echo}{text}");
+                let _sent = stream.write_all(text.as_bytes()).await;
+                shared.is_lost.store(true, Ordering::Relaxed);
+                shared.crashed.notify_one();
+                // The connection ends with the process.
+                std::future::pending::<()>().await;
+                return;
+            }
             Step::Hang => {
                 // Returns when the gateway closes the connection.
                 let end = stream.read(&mut [0; 16]).await;
