--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -106,6 +106,12 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default)]
 #[serde(deny_unknown_fields)]
 pub struct Gateway {
+    #[doc = "The least rate of the body of a request, after its first ten seconds."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub body_bytes_per_second: ::std::option::Option<u32>,
+    #[doc = "The longest pause within the body of a request."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub body_idle_ms: ::std::option::Option<u64>,
     #[doc = "The multiple of its rate that a cold upstream bears."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub cold_overage: ::std::option::Option<f64>,
@@ -127,6 +133,12 @@
     #[doc = "The speed of this host's link, in Mbit/s."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub link_mbps: ::std::option::Option<f64>,
+    #[doc = "The file descriptors that this process may open; empty if unknown."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub max_fds: ::std::option::Option<::std::string::String>,
+    #[doc = "The memory of this host's machine, in MB; empty if unknown."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub memory_mb: ::std::option::Option<::std::string::String>,
     #[doc = "The path at which the balancer asks whether the host is ready."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub ready_path: ::std::option::Option<::std::string::String>,
--- a/src/check/kind.rs
+++ b/src/check/kind.rs
@@ -76,6 +76,14 @@
         /// The text found.
         value: String,
     },
+    /// The text is neither a number in the accepted range nor empty.
+    #[error("is {value:?}, expected a number from 1 to {max}, or nothing if it is unknown")]
+    BadAmount {
+        /// The text found.
+        value: String,
+        /// The maximum.
+        max: f64,
+    },
     /// The text is not a name.
     #[error("is {value:?}, expected a name of 1 to {max} visible ASCII characters")]
     BadName {
--- a/src/check/schema.rs
+++ b/src/check/schema.rs
@@ -81,6 +81,8 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Format {
+    /// A positive number, or nothing if it is unknown.
+    Amount,
     /// An IP address and port to connect to.
     Address,
     /// An IP address and port to listen on.
--- a/src/check/text.rs
+++ b/src/check/text.rs
@@ -5,6 +5,12 @@
 use crate::check::Kind;
 use crate::check::schema::Format;
 
+/// The largest amount.
+pub const MAX_AMOUNT: f64 = 1e9;
+
+/// Texts that a template may have in place of an amount that isn't known.
+const UNKNOWN_AMOUNTS: [&str; 2] = ["", "null"];
+
 /// The maximum length of a name.
 pub const MAX_NAME_CHARS: usize = 128;
 
@@ -12,6 +18,7 @@
 pub fn fault(format: Format, text: &str) -> Option<Kind> {
     let value = || text.to_owned();
     match format {
+        Format::Amount => amount(text).err(),
         Format::Address if !is_address(text) => Some(Kind::BadAddress { value: value() }),
         Format::Listen if !is_listen(text) => Some(Kind::BadAddress { value: value() }),
         Format::Name if text.is_empty() => Some(Kind::Empty),
@@ -24,6 +31,22 @@
     }
 }
 
+/// Parses an amount: a number from 1 to [`MAX_AMOUNT`], or `None` if it is unknown.
+pub fn amount(text: &str) -> Result<Option<f64>, Kind> {
+    let text = text.trim();
+    if UNKNOWN_AMOUNTS.contains(&text) {
+        return Ok(None);
+    }
+    let amount = text.parse().ok();
+    match amount.filter(|amount| (1.0..=MAX_AMOUNT).contains(amount)) {
+        Some(amount) => Ok(Some(amount)),
+        None => Err(Kind::BadAmount {
+            value: text.to_owned(),
+            max: MAX_AMOUNT,
+        }),
+    }
+}
+
 fn is_listen(text: &str) -> bool {
     text.parse::<SocketAddr>().is_ok()
 }
--- a/src/options/constants.rs
+++ b/src/options/constants.rs
@@ -109,6 +109,15 @@
 pub const GATEWAY_COLD_SLACK: f64 = 0.0;
 /// The speed of a host's network link, in Mbit/s.
 pub const GATEWAY_LINK_MBPS: u32 = 1_000;
+/// The memory of a host's machine in MB, if the platform names none: that of the largest of the
+/// published machines, so that hosts without the setting refuse no more than they have to.
+pub const GATEWAY_MEMORY_MB: u64 = 512;
+/// The file descriptors of a gateway, if the platform names none, as for the memory.
+pub const GATEWAY_MAX_FDS: u64 = 8_192;
+/// The maximum pause within a body: the published idle time-out of connections.
+pub const GATEWAY_BODY_IDLE: Duration = Duration::from_secs(15);
+/// The minimum rate of a body after its first ten seconds, the longest published deadline.
+pub const GATEWAY_BODY_BYTES_PER_SECOND: u32 = 256;
 /// Whether the whole fleet starts for the first time. Off by default: a host then asks
 /// others for cached prompts, which costs little even if there are none.
 pub const GATEWAY_FIRST_START: bool = false;
--- a/src/options/convert.rs
+++ b/src/options/convert.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::border::settings::Address;
+use crate::check::text;
 
 /// Converts milliseconds to a duration.
 pub fn duration(from: Option<impl Into<u64>>, default: Duration) -> Duration {
@@ -22,6 +23,12 @@
     from.map_or(default, Into::into)
 }
 
+/// Converts an amount, which may be unknown. Amounts out of range don't pass the checks.
+pub fn amount(from: Option<&str>) -> Option<u64> {
+    let amount = text::amount(from?).ok().flatten();
+    amount.map(|amount| amount as u64)
+}
+
 /// Converts a list of addresses.
 pub fn addresses(from: &[Address]) -> Vec<SocketAddr> {
     from.iter().map(|address| **address).collect()
--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -5,7 +5,9 @@
 use crate::border::settings as border;
 use crate::gateway::retry_budget;
 use crate::options::constants;
+use crate::options::convert::amount;
 use crate::options::convert::duration;
+use crate::options::convert::number;
 
 /// Settings of a gateway. Limits on upstreams apply to the sum over all hosts.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +35,14 @@
     /// The speed of this host's network link, in Mbit/s. Hosts with fast links relay the
     /// content of the store.
     pub link_mbps: u32,
+    /// The memory of this host's machine, in MB.
+    pub memory_mb: u64,
+    /// The file descriptors that this process may open.
+    pub max_fds: u64,
+    /// The maximum pause within the body of a request.
+    pub body_idle: Duration,
+    /// The minimum rate of the body of a request, after its first seconds.
+    pub body_bytes_per_second: u32,
     /// Whether the whole fleet starts for the first time, so that no upstream has cached
     /// prompts yet.
     pub first_start: bool,
@@ -71,6 +81,10 @@
             cold_overage: constants::GATEWAY_COLD_OVERAGE,
             cold_slack: constants::GATEWAY_COLD_SLACK,
             link_mbps: constants::GATEWAY_LINK_MBPS,
+            memory_mb: constants::GATEWAY_MEMORY_MB,
+            max_fds: constants::GATEWAY_MAX_FDS,
+            body_idle: constants::GATEWAY_BODY_IDLE,
+            body_bytes_per_second: constants::GATEWAY_BODY_BYTES_PER_SECOND,
             first_start: constants::GATEWAY_FIRST_START,
         }
     }
@@ -95,6 +109,13 @@
             link_mbps: from
                 .link_mbps
                 .map_or(defaults.link_mbps, |speed| speed as u32),
+            memory_mb: amount(from.memory_mb.as_deref()).unwrap_or(defaults.memory_mb),
+            max_fds: amount(from.max_fds.as_deref()).unwrap_or(defaults.max_fds),
+            body_idle: duration(from.body_idle_ms, defaults.body_idle),
+            body_bytes_per_second: number(
+                from.body_bytes_per_second,
+                defaults.body_bytes_per_second,
+            ),
             first_start: from.first_start.unwrap_or(defaults.first_start),
         }
     }
