Bound the bodies of all requests and the connections of callers

Cause: each body was collected up to its own limit until the deadline of its request, each chunk kept the buffer that it was read into, and nothing bounded connections but the descriptors of the process (docs/design/hard-load.md, fault 6).

Change: gateway::intake has one table of all bodies, which owns and counts their bytes, keeps a quarter for small ones, and ends the body that has stalled longest if there is no room; a bound on callers' and hosts' connections, which closes the one that has waited longest; and a pause and a rate after which a body is too slow. The bounds follow from memory_mb, max_fds and the process's limit of descriptors. A body that is announced as too large is refused before it is read, a refused body that was not read closes its connection, receive buffers are 16 KB, and the HTTP library's buffer for other hosts is twice the header limit instead of 400 KB. New code no-room (503, Retry-After, not run), log lines and metrics.

--- a/review/stand.rs
+++ b/review/stand.rs
@@ -539,6 +539,8 @@
             ("{{bounds.coldOverage}}", "1.5".to_owned()),
             ("{{bounds.coldSlack}}", "5".to_owned()),
             ("{{limits.linkMbps}}", "1000.0".to_owned()),
+            ("{{limits.memoryMb}}", "512".to_owned()),
+            ("{{limits.maxFds}}", "8192".to_owned()),
             ("{{bootstrap|json}}", is_first.to_string()),
         ];
         let mut text = std::fs::read_to_string("deploy/settings.toml").unwrap();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,6 +24,7 @@
 pub mod headers;
 pub mod health;
 pub mod history;
+pub mod intake;
 pub mod job;
 pub mod join;
 pub mod limit;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -57,13 +57,18 @@
     let accepted = state
         .aborting
         .run_until_cancelled(accept(&state, request, arrived, &id, handoff));
-    let result = match accepted.await.unwrap_or_else(|| Err(shutting_down())) {
+    let mut closes = false;
+    let accepted = accepted.await;
+    let result = match accepted.unwrap_or_else(|| Err(shutting_down().into())) {
         Ok(job) if may_outlive(&state, &job) => Err(shutting_down()),
         Ok(job) => {
             let result = state.aborting.run_until_cancelled(run(&state, job)).await;
             result.unwrap_or(Err(Refusal::unknown(Code::HostStopped)))
         }
-        Err(refusal) => Err(refusal),
+        Err(rejection) => {
+            closes |= rejection.is_unread;
+            Err(rejection.refusal)
+        }
     };
     let mut response = match result {
         Ok(response) => response,
@@ -77,7 +82,7 @@
             refusal::response(&refusal, attempt)
         }
     };
-    if state.draining.is_cancelled() {
+    if closes || state.draining.is_cancelled() {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -205,7 +205,11 @@
 /// to hand the request on.
 fn concerns_host(state: &State, job: &Job, code: Code) -> bool {
     match code {
-        Code::ConnectFailed | Code::NotReady | Code::KeysStale | Code::ShuttingDown => true,
+        Code::ConnectFailed
+        | Code::NotReady
+        | Code::KeysStale
+        | Code::ShuttingDown
+        | Code::NoRoom => true,
         Code::Full => !lock(&state.reach).is_lost(&job.service),
         _ => false,
     }
--- /dev/null
+++ b/src/gateway/intake/connections.rs
@@ -0,0 +1,154 @@
+//! Connections of callers or of other hosts, which are bounded in number.
+//!
+//! Where there is no room for a new one, the connection that has waited longest for a request, or
+//! for more of its body, is closed. One whose request runs never is.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::intake::STALL_TIME;
+use crate::lock::lock;
+
+/// Minimum time between two log lines about connections that were closed or refused.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+type Id = u64;
+
+/// Why a connection has to be closed for the sake of the bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Shed {
+    /// An older one that stalled was closed.
+    Closed,
+    /// The new one was refused, as none had stalled.
+    Refused,
+}
+
+/// Open connections.
+#[derive(Debug, Default)]
+pub struct Table {
+    next: Id,
+    open: BTreeMap<Id, Connection>,
+    /// Number closed or refused since the last log line.
+    unlogged: u64,
+    logged: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    /// Since when it waits for its caller; `None` while a request runs.
+    waits_since: Option<Instant>,
+    closed: CancellationToken,
+}
+
+/// An open connection, which counts until it is dropped.
+#[derive(Debug)]
+pub struct Lease {
+    table: Arc<Mutex<Table>>,
+    id: Id,
+    closed: CancellationToken,
+}
+
+impl Table {
+    /// Returns the number of open connections.
+    pub fn count(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Returns how many connections were closed or refused since this was returned last, at most
+    /// once in a while.
+    pub fn take_unlogged(&mut self, now: Instant) -> Option<u64> {
+        let is_due = self
+            .logged
+            .is_none_or(|at| now.duration_since(at) >= LOG_INTERVAL);
+        if self.unlogged == 0 || !is_due {
+            return None;
+        }
+        self.logged = Some(now);
+        Some(std::mem::take(&mut self.unlogged))
+    }
+
+    /// Makes room for a connection. Returns what had to be done for it, if anything.
+    fn make_room(&mut self, now: Instant, max: usize) -> Option<Shed> {
+        if self.open.len() < max {
+            return None;
+        }
+        self.unlogged += 1;
+        let stalled = self.open.iter().filter_map(|(id, connection)| {
+            let since = connection.waits_since?;
+            (now.duration_since(since) >= STALL_TIME).then_some((since, *id))
+        });
+        match stalled.min() {
+            Some((_, id)) => {
+                if let Some(connection) = self.open.remove(&id) {
+                    connection.closed.cancel();
+                }
+                Some(Shed::Closed)
+            }
+            None => Some(Shed::Refused),
+        }
+    }
+}
+
+impl Lease {
+    /// Counts a new connection if there is room for it. Also returns what had to be done for the
+    /// bound of `max` connections.
+    pub fn new(
+        table: &Arc<Mutex<Table>>,
+        now: Instant,
+        max: usize,
+    ) -> (Option<Self>, Option<Shed>) {
+        let mut connections = lock(table);
+        let shed = connections.make_room(now, max);
+        if shed == Some(Shed::Refused) {
+            return (None, shed);
+        }
+        let closed = CancellationToken::new();
+        let id = connections.next;
+        connections.next += 1;
+        let connection = Connection {
+            waits_since: Some(now),
+            closed: closed.clone(),
+        };
+        connections.open.insert(id, connection);
+        let lease = Self {
+            table: table.clone(),
+            id,
+            closed,
+        };
+        (Some(lease), shed)
+    }
+
+    /// Records that the caller sent something, or received a response: it is waited for from now
+    /// on.
+    pub fn wait(&self, now: Instant) {
+        self.set(Some(now));
+    }
+
+    /// Records that a request runs.
+    pub fn run(&self) {
+        self.set(None);
+    }
+
+    /// Waits until the connection is to be closed to make room for another.
+    pub async fn closed(&self) {
+        self.closed.cancelled().await;
+    }
+
+    fn set(&self, waits_since: Option<Instant>) {
+        if let Some(connection) = lock(&self.table).open.get_mut(&self.id) {
+            connection.waits_since = waits_since;
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        lock(&self.table).open.remove(&self.id);
+    }
+}
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -22,6 +22,7 @@
 use crate::gateway::handoff::Handoff;
 use crate::gateway::headers::Names;
 use crate::gateway::headers::Segment;
+use crate::gateway::intake::bodies;
 use crate::gateway::placement::Prompt;
 use crate::gateway::table::Route;
 use crate::gateway::table::Workspace;
@@ -65,6 +66,8 @@
     pub headers: HeaderMap,
     /// Body of the request.
     pub body: Bytes,
+    /// Memory of the body, which counts while the request may be sent again.
+    pub memory: Arc<bodies::Lease>,
     /// Prompt that the request shares with others.
     pub prompt: Prompt,
     /// Ids of that prompt's segments, in order.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -49,6 +49,19 @@
     source: &'static str,
 }
 
+/// Label set with who opens connections.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByAudience {
+    audience: &'static str,
+}
+
+/// Label set with who opens connections, and what became of one that had no room.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByShed {
+    audience: &'static str,
+    result: &'static str,
+}
+
 type Histograms = Family<ByKind, Histogram, fn() -> Histogram>;
 
 /// The metrics and their registry.
@@ -67,6 +80,11 @@
     handoffs: Family<ByCode, Counter>,
     left_out: Family<ByCode, Counter>,
     unreadable: Family<ByCode, Counter>,
+    shed: Family<ByShed, Counter>,
+    connections: Family<ByAudience, Gauge>,
+    bodies: Gauge,
+    body_bytes: Gauge,
+    evicted_bodies: Gauge,
     upstreams: Gauge,
     hosts: Gauge,
     store_age_seconds: Gauge<f64, AtomicU64>,
@@ -96,6 +114,23 @@
     pub noticed: usize,
     /// Age of what other hosts reported of their requests.
     pub load_age: load::Age,
+    /// What callers and other hosts send.
+    pub intake: Intake,
+}
+
+/// Bodies and connections of callers and other hosts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Intake {
+    /// Bodies that arrive or are held.
+    pub bodies: usize,
+    /// Memory of these.
+    pub body_bytes: usize,
+    /// Bodies that were ended to make room for others, since the start.
+    pub evicted: u64,
+    /// Connections of callers.
+    pub callers: usize,
+    /// Connections of other hosts.
+    pub hosts: usize,
 }
 
 impl Meter {
@@ -116,6 +151,11 @@
             handoffs: Family::default(),
             left_out: Family::default(),
             unreadable: Family::default(),
+            shed: Family::default(),
+            connections: Family::default(),
+            bodies: Gauge::default(),
+            body_bytes: Gauge::default(),
+            evicted_bodies: Gauge::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
             store_age_seconds: Gauge::default(),
@@ -183,6 +223,31 @@
             "Datagrams of other hosts that can't be read, by reason",
             it.unreadable.clone(),
         );
+        registry.register(
+            "connections_shed",
+            "Connections for which there was no room, by who opened them and what was done",
+            it.shed.clone(),
+        );
+        registry.register(
+            "connections",
+            "Open connections, by who opened them",
+            it.connections.clone(),
+        );
+        registry.register(
+            "bodies",
+            "Bodies of requests that arrive or are held",
+            it.bodies.clone(),
+        );
+        registry.register(
+            "body_bytes",
+            "Memory of the bodies of requests",
+            it.body_bytes.clone(),
+        );
+        registry.register(
+            "evicted_bodies",
+            "Bodies that stalled and were ended to make room for others, since the start",
+            it.evicted_bodies.clone(),
+        );
         registry.register("upstreams", "Upstreams listed", it.upstreams.clone());
         registry.register("hosts", "Live hosts", it.hosts.clone());
         registry.register(
@@ -280,6 +345,12 @@
         counter.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
     }
 
+    /// Counts a connection for which there was no room, by what was done.
+    pub fn shed(&self, audience: &'static str, result: &'static str) {
+        let label = ByShed { audience, result };
+        self.shed.get_or_create(&label).inc();
+    }
+
     /// Counts a datagram of another host that can't be read.
     pub fn unreadable(&self, reason: &'static str) {
         let label = ByCode { code: reason };
@@ -307,6 +378,15 @@
             let gauge = self.load_age_seconds.get_or_create(&BySource { source });
             gauge.set(age.map_or(-1.0, |age| age.as_secs_f64()));
         }
+        let intake = gauges.intake;
+        for (audience, open) in [("callers", intake.callers), ("hosts", intake.hosts)] {
+            let label = ByAudience { audience };
+            self.connections.get_or_create(&label).set(count(open));
+        }
+        self.bodies.set(count(intake.bodies));
+        self.body_bytes.set(count(intake.body_bytes));
+        let evicted = i64::try_from(intake.evicted).unwrap_or(i64::MAX);
+        self.evicted_bodies.set(evicted);
         let mut text = String::new();
         encode(&mut text, &lock(&self.registry))?;
         Ok(text)
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -23,6 +23,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 use tracing::warn;
 
@@ -31,11 +32,15 @@
 use crate::gateway::forward;
 use crate::gateway::handoff::Handoff;
 use crate::gateway::history;
+use crate::gateway::intake::connections;
+use crate::gateway::listen;
 use crate::gateway::listen::RequestGuard;
+use crate::gateway::metrics;
 use crate::gateway::metrics::Gauges;
 use crate::gateway::resume;
 use crate::gateway::state::State;
 use crate::gateway::stream::Payload;
+use crate::gateway::table::Limits;
 use crate::gateway::warmup;
 use crate::lock::lock;
 use crate::log::millis;
@@ -46,6 +51,10 @@
 /// Maximum size of another host's request.
 const MAX_REQUEST_BYTES: usize = 1_024;
 
+/// Factor by which the head of a request that another host hands on may be longer than that of a
+/// caller, since the host adds headers. The HTTP library's own limit is 400 KB for each connection.
+const HEADER_FACTOR: usize = 2;
+
 /// Maximum time that a follower waits for a change.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
@@ -70,19 +79,47 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let lease = match audience {
+                    Audience::Hosts => {
+                        match listen::admit(&state, &state.hosts, listen::Audience::Hosts) {
+                            Some(lease) => Some(Arc::new(lease)),
+                            None => continue,
+                        }
+                    }
+                    Audience::Operators => None,
+                };
                 if let Err(error) = set_tcp_options(&stream) {
                     warn!(%error, "operators: can't set TCP options");
                 }
                 let state = state.clone();
+                let view = state.view();
+                let header_bytes = view.route_table().map(|table| table.limits.header_bytes);
+                let buffer = header_bytes.unwrap_or_else(|| Limits::default().header_bytes);
+                let buffer = buffer.saturating_mul(HEADER_FACTOR);
                 tokio::spawn(async move {
                     let service = service_fn(|request| {
                         let state = state.clone();
-                        async move { Ok::<_, Infallible>(serve(&state, request, audience).await) }
+                        let lease = lease.clone();
+                        async move { Ok::<_, Infallible>(serve(&state, request, lease).await) }
                     });
-                    let connection =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                    let connection = http1::Builder::new()
+                        .max_buf_size(buffer.max(listen::MIN_BUFFER_BYTES))
+                        .serve_connection(TokioIo::new(stream), service);
+                    let closed = async {
+                        match &lease {
+                            Some(lease) => lease.closed().await,
+                            None => std::future::pending().await,
+                        }
+                    };
+                    let mut connection = std::pin::pin!(connection);
                     // Disconnects are not logged.
-                    let _ended = connection.await;
+                    tokio::select! {
+                        _ended = &mut connection => {}
+                        () = closed => {
+                            connection.as_mut().graceful_shutdown();
+                            let _ended = timeout(listen::CLOSE_TIMEOUT, connection).await;
+                        }
+                    }
                 });
             }
             Err(error) => {
@@ -93,19 +130,28 @@
     }
 }
 
+/// Serves a request. Only other hosts, whose connections have a `lease`, may hand requests on.
 async fn serve(
     state: &Arc<State>,
-    request: Request<Incoming>,
-    audience: Audience,
+    mut request: Request<Incoming>,
+    lease: Option<Arc<connections::Lease>>,
 ) -> Response<Payload> {
-    match Handoff::of(request.headers()) {
-        Some(handoff) if audience == Audience::Hosts => {
-            let guard = RequestGuard::new(state);
+    match (Handoff::of(request.headers()), lease) {
+        (Some(handoff), Some(lease)) => {
+            lease.wait(Instant::now());
+            request.extensions_mut().insert(lease.clone());
+            let guard = RequestGuard::new(state, lease);
             let response = forward::serve(state.clone(), request, Some(handoff)).await;
             guard.attach(response)
         }
-        Some(_) | None => {
+        (_, lease) => {
+            if let Some(lease) = &lease {
+                lease.run();
+            }
             let response = handle(state, request).await;
+            if let Some(lease) = &lease {
+                lease.wait(Instant::now());
+            }
             response.map(|body| Payload::new(body.map_err(|never| match never {})))
         }
     }
@@ -143,10 +189,25 @@
         retained: lock(&state.mirror).retained(),
         noticed: lock(&state.notices).len(),
         load_age: lock(&state.loads).age(now),
+        intake: intake(state),
         version: view.route_table().map_or(0, |table| table.version),
     }
 }
 
+fn intake(state: &State) -> metrics::Intake {
+    let (bodies, body_bytes, evicted) = {
+        let table = lock(&state.bodies);
+        (table.count(), table.used(), table.evicted())
+    };
+    metrics::Intake {
+        bodies,
+        body_bytes,
+        evicted,
+        callers: lock(&state.callers).count(),
+        hosts: lock(&state.hosts).count(),
+    }
+}
+
 /// Returns the items after the follower's position, once there are any or its wait time
 /// is over.
 async fn serve_follower(state: &Arc<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -22,6 +22,7 @@
 use crate::gateway::gossip;
 use crate::gateway::headers::Names;
 use crate::gateway::history;
+use crate::gateway::intake::RECEIVE_BUFFER_BYTES;
 use crate::gateway::listen;
 use crate::gateway::operator;
 use crate::gateway::operator::Audience;
@@ -185,6 +186,8 @@
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
         socket.set_reuseaddr(true)?;
+        // Accepted connections inherit it.
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         socket.bind(address)?;
         let listener = socket.listen(LISTEN_BACKLOG)?;
         let bound = listener.local_addr()?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,7 +18,9 @@
 //! 13. `origins`: versions that began streams
 //! 14. `copies`: copies of the store that were given to others
 //! 15. `live_options`: the gateway settings in effect
-//! 16. `meter`: metrics, and the locks of the connection pool
+//! 16. `bodies`: bodies of requests
+//! 17. `callers`, `hosts`: connections
+//! 18. `meter`: metrics, and the locks of the connection pool
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -29,11 +31,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use nix::sys::resource::Resource;
+use nix::sys::resource::getrlimit;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tracing::warn;
 
 use crate::boot;
 use crate::gateway::buffer;
@@ -42,6 +47,7 @@
 use crate::gateway::follow;
 use crate::gateway::headers::Names;
 use crate::gateway::health;
+use crate::gateway::intake;
 use crate::gateway::load;
 use crate::gateway::metrics;
 use crate::gateway::notice;
@@ -116,6 +122,14 @@
     pub pool: connection::Pool,
     /// Memory for responses that are buffered.
     pub buffers: buffer::Budget,
+    /// Bodies of requests.
+    pub bodies: Arc<Mutex<intake::bodies::Table>>,
+    /// Connections of callers.
+    pub callers: Arc<Mutex<intake::connections::Table>>,
+    /// Connections of other hosts.
+    pub hosts: Arc<Mutex<intake::connections::Table>>,
+    /// Descriptors that the system lets this process open.
+    pub system_fds: u64,
     /// Outage of the store, and the recovery period after it.
     pub outage: Mutex<outage::Outage>,
     /// Copies of the store that this host gave to others that started.
@@ -165,6 +179,17 @@
     seeds.collect()
 }
 
+/// Returns the number of descriptors that the system lets this process open.
+fn system_fds() -> u64 {
+    match getrlimit(Resource::RLIMIT_NOFILE) {
+        Ok((soft, _)) => soft,
+        Err(error) => {
+            warn!(%error, "gateway: can't read the limit of descriptors");
+            u64::MAX
+        }
+    }
+}
+
 impl State {
     /// Creates the state of a host that has not read the store yet.
     pub fn new(options: Options, names: Names, source: Source, mut random: StdRng) -> Self {
@@ -199,6 +224,10 @@
             meter: metrics::Meter::new(),
             pool: connection::Pool::default(),
             buffers: buffer::Budget::default(),
+            bodies: Arc::default(),
+            callers: Arc::default(),
+            hosts: Arc::default(),
+            system_fds: system_fds(),
             outage: Mutex::default(),
             copies: Mutex::default(),
             confirming: tokio::sync::Mutex::default(),
@@ -227,6 +256,11 @@
         lock(&self.live_options).clone()
     }
 
+    /// Returns the bounds on what callers send, whose bodies may have `max_body` bytes.
+    pub fn intake_limits(&self, max_body: usize) -> intake::Limits {
+        intake::Limits::new(&self.live_options(), self.system_fds, max_body)
+    }
+
     /// Returns the decoded items of the store.
     pub fn view(&self) -> Arc<View> {
         lock(&self.view).clone()
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -66,6 +66,8 @@
     HeadersTooLarge,
     /// The body did not arrive in time.
     BodyTooSlow,
+    /// The host has no memory for the body, or no room for the connection that it came by.
+    NoRoom,
     /// The host is at its limit of concurrent requests.
     TooManyRequests,
     /// No route matches the path.
@@ -217,7 +219,8 @@
             | Self::HostStopped
             | Self::ForeignAnswer
             | Self::AnswerTooLarge => S::BAD_GATEWAY,
-            Self::NoUpstream
+            Self::NoRoom
+            | Self::NoUpstream
             | Self::Full
             | Self::QueueTimeout
             | Self::ShuttingDown
