--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -87,7 +87,7 @@
     tokio::time::sleep(HOLD_TIME).await;
     match connection.is_open() {
         true => {
-            state.pool.release(Instant::now(), connection);
+            state.release_connection(connection, upstream.slots);
             Ok(())
         }
         false => Err(Doubt::Closed),
