Requests that wait for an upstream are served in order

Cause: each waiting request looked for an upstream every 20 ms on its own, so priorities, workspaces and the order of arrival meant nothing, and all refused callers were told to return after the same 400 ms.

Change: a queue per service (gateway::admit) by priority, then start-time fair among workspaces (policy::fair, generalised), then by due time. The first request looks at each change of capacity and every 20 ms, and the next ones after it; a less urgent one is served at least once per 16 more urgent ones and priority. The wait is half the objective, and the whole one if the drain of the queue says that the request begins by then. A request that isn't expected to begin within its caller's time is refused at once. Retry-After follows the expected wait, and a caller that returns keeps its place. Requests sent before and those handed on wait as before. No request is sent after its deadline.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 //! recent enough to serve callers ([`state`]).
 
 pub mod accept;
+pub mod admit;
 pub mod attempt;
 pub mod buffer;
 pub mod cold_start;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,6 +20,9 @@
 use crate::gateway::accept::RETRY_AFTER_NO_UPSTREAM;
 use crate::gateway::accept::RETRY_AFTER_OTHER_HOST;
 use crate::gateway::accept::header_text;
+use crate::gateway::admit;
+use crate::gateway::admit::wait::Reason;
+use crate::gateway::admit::wait::Ticket;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Fault;
 use crate::gateway::crash;
@@ -32,6 +35,7 @@
 use crate::gateway::rejections;
 use crate::gateway::selection::Lease;
 use crate::gateway::selection::Selection;
+use crate::gateway::selection::Summary;
 use crate::gateway::state::State;
 use crate::gateway::upstream::Record;
 use crate::gateway::upstream::Upstream;
@@ -111,6 +115,11 @@
         job.route.kind.is_repeatable() && runs < job.route.max_attempts
     }
 
+    /// Returns whether the request has not been sent, nor tried to be.
+    fn is_new(&self) -> bool {
+        self.sends == 0 && self.unsent == 0 && self.tried_hosts.is_empty()
+    }
+
     /// Counts that the request is sent now.
     pub fn begin(&mut self, now: Instant) {
         self.sends += 1;
@@ -191,6 +200,10 @@
             Some(target) => target,
             None => wait_for_target(state, job, history).await?,
         };
+        // The host may have been suspended while the request waited.
+        if Instant::now() >= job.deadline {
+            return Err(abandon(history, Code::QueueTimeout, RETRY_AFTER_OTHER_HOST));
+        }
         reauthorize(state, job, history)?;
         crash::check_before_send(state, job, history)?;
         let attempt = match target {
@@ -468,48 +481,206 @@
     }
 }
 
+/// Result of one look for an upstream.
+enum Look {
+    /// Where the request is sent.
+    Target(Target),
+    /// No upstream has spare capacity.
+    Wait(Summary),
+    /// None may get a request before this time has passed.
+    Later(Duration),
+}
+
+/// Looks for an upstream and counts the request there, or for a host to hand the request to. Fails
+/// with the refusal for the caller if there is none to wait for.
+fn look(state: &Arc<State>, job: &Job, history: &History) -> Result<Look, Refusal> {
+    if let Some(host) = handoff::host(state, job, history) {
+        return Ok(Look::Target(Target::Host(host)));
+    }
+    if job.handoff.is_some() && lock(&state.reach).is_lost(&job.service) {
+        return Err(abandon(
+            history,
+            Code::ConnectFailed,
+            RETRY_AFTER_OTHER_HOST,
+        ));
+    }
+    match state.choose(job, &history.tried, history.version.as_ref()) {
+        Selection::Selected(lease) => Ok(Look::Target(Target::Upstream(Box::new(lease)))),
+        Selection::NoUpstream => {
+            let code = match &history.version {
+                Some(_) => Code::VersionGone,
+                None => Code::NoUpstream,
+            };
+            Err(abandon(history, code, RETRY_AFTER_NO_UPSTREAM))
+        }
+        // The host that handed the request on tries another one that has a share.
+        Selection::Wait(summary) if job.handoff.is_some() && summary.has_no_room() => {
+            Err(abandon(history, Code::Full, RETRY_AFTER_FULL))
+        }
+        Selection::Wait(summary) if summary.has_no_share() => {
+            Ok(match handoff::sharer(state, job, history) {
+                Some(host) => Look::Target(Target::Host(host)),
+                None => Look::Wait(summary),
+            })
+        }
+        Selection::Wait(summary) => Ok(Look::Wait(summary)),
+        Selection::Later(left) => Ok(Look::Later(left)),
+    }
+}
+
 /// Waits until an upstream can take the request and counts the request there, or until the request
 /// has to be handed to another host.
+///
+/// A request that was sent before, or that another host hands on, has waited already, and doesn't
+/// queue.
 async fn wait_for_target(
     state: &Arc<State>,
     job: &Job,
     history: &History,
 ) -> Result<Target, Refusal> {
-    let wait_until = Instant::now() + job.route.objective.mul_f64(QUEUE_FRACTION);
-    let wait_until = wait_until.min(job.deadline);
-    loop {
-        let changed = state.capacity_changed.notified();
-        if let Some(host) = handoff::host(state, job, history) {
-            return Ok(Target::Host(host));
+    match history.is_new() && job.handoff.is_none() {
+        true => queue_for_target(state, job, history).await,
+        false => poll_for_target(state, job, history).await,
+    }
+}
+
+/// Looks for an upstream at once if no request waits for the service, and in the order of the
+/// queue otherwise.
+async fn queue_for_target(
+    state: &Arc<State>,
+    job: &Job,
+    history: &History,
+) -> Result<Target, Refusal> {
+    // The caller of a stream that continues already counts a gap.
+    let is_specific = history.version.is_some();
+    if is_specific || state.queues.is_idle(&job.service) {
+        if let Look::Target(target) = look(state, job, history)? {
+            return Ok(target);
         }
-        if job.handoff.is_some() && lock(&state.reach).is_lost(&job.service) {
-            return Err(abandon(
-                history,
-                Code::ConnectFailed,
-                RETRY_AFTER_OTHER_HOST,
-            ));
+    } else if let Some(host) = handoff::host(state, job, history) {
+        return Ok(Target::Host(host));
+    }
+    let joined = Instant::now();
+    let workspace = job.workspace.as_ref().map(|it| it.name.clone());
+    let mut request = admit::wait::Request {
+        service: job.service.clone(),
+        priority: job.priority(),
+        workspace: workspace.unwrap_or_else(|| "".into()),
+        fingerprint: job.fingerprint,
+        due: job.arrived + job.route.objective,
+        deadline: job.deadline,
+        bytes: job.body.len(),
+        is_specific,
+    };
+    let mut ticket = match state.queues.join(joined, request.clone()) {
+        Ok(ticket) => ticket,
+        Err(reason) => return Err(refuse(state, job, &request, reason, None)),
+    };
+    request.due = ticket.due();
+    let mut wait_until = job
+        .deadline
+        .min(joined + job.route.objective.mul_f64(QUEUE_FRACTION));
+    let mut is_extended = false;
+    let mut summary = None;
+    let reason = loop {
+        let has_turn = ticket.turn(&state.capacity_changed, wait_until).await;
+        let now = Instant::now();
+        if now >= job.deadline {
+            break Reason::Expired;
         }
-        let summary = match state.choose(job, &history.tried, history.version.as_ref()) {
-            Selection::Selected(lease) => return Ok(Target::Upstream(Box::new(lease))),
-            Selection::NoUpstream => {
-                let code = match &history.version {
-                    Some(_) => Code::VersionGone,
-                    None => Code::NoUpstream,
-                };
-                return Err(abandon(history, code, RETRY_AFTER_NO_UPSTREAM));
-            }
-            // The host that handed the request on tries another one that has a share.
-            Selection::Wait(summary) if job.handoff.is_some() && summary.has_no_room() => {
-                return Err(abandon(history, Code::Full, RETRY_AFTER_FULL));
-            }
-            Selection::Wait(summary) if summary.has_no_share() => {
-                if let Some(host) = handoff::sharer(state, job, history) {
-                    return Ok(Target::Host(host));
+        if has_turn {
+            match look(state, job, history)? {
+                Look::Target(target) => {
+                    ticket.grant(now);
+                    state
+                        .meter
+                        .queued(job.route.kind, now.duration_since(joined));
+                    return Ok(target);
                 }
-                summary
+                Look::Wait(found) => {
+                    summary = Some(found);
+                    ticket.fail(now, now);
+                }
+                Look::Later(left) if now + left >= wait_until => {
+                    info!(id = job.id, service = %job.service, left_ms = millis(left),
+                        "request: all upstreams rest or are at their limits");
+                    state.meter.queue_refused(Reason::Limited.into());
+                    return Err(abandon(history, Code::Full, left));
+                }
+                Look::Later(left) => ticket.fail(now, now + left),
             }
-            Selection::Wait(summary) => summary,
-            Selection::Later(left) => {
+        }
+        if now < wait_until {
+            continue;
+        }
+        let extended = joined + job.route.objective;
+        if is_extended || !begins_by(state, job, &ticket, now, extended) {
+            break Reason::TimedOut;
+        }
+        is_extended = true;
+        wait_until = extended.min(job.deadline);
+    };
+    drop(ticket);
+    Err(refuse(state, job, &request, reason, summary))
+}
+
+/// Returns whether a waiting request is expected to begin by a time, and then has time to run.
+fn begins_by(state: &State, job: &Job, ticket: &Ticket, now: Instant, by: Instant) -> bool {
+    let Some(expected) = ticket.expected(now) else {
+        return false;
+    };
+    let takes = lock(&state.loads).duration(&job.service);
+    let begins = now + expected.wait;
+    begins <= by && begins + takes.unwrap_or(job.route.objective) <= job.deadline
+}
+
+/// Returns the refusal of a request that doesn't wait, or waits no more, and keeps its place for
+/// when the caller returns.
+fn refuse(
+    state: &State,
+    job: &Job,
+    request: &admit::wait::Request,
+    reason: Reason,
+    summary: Option<Summary>,
+) -> Refusal {
+    let now = Instant::now();
+    let retry_after = state.queues.refuse(now, request, state.random_fraction());
+    let waited_ms = millis(now.duration_since(job.arrived));
+    match summary {
+        Some(summary) => {
+            info!(id = job.id, service = %job.service, %reason, priority = request.priority, waited_ms,
+                usable = summary.usable, down = summary.down, suspect = summary.suspect, cold = summary.cold,
+                limited = summary.limited, brittle = summary.brittle, load = summary.load, slots = summary.slots,
+                "request: timed out waiting for an upstream");
+        }
+        None => {
+            info!(id = job.id, service = %job.service, %reason, priority = request.priority, waited_ms,
+                "request: not served from the queue");
+        }
+    }
+    state.meter.queue_refused(reason.into());
+    let code = match reason {
+        Reason::WorkspaceFull => Code::WorkspaceFull,
+        Reason::Expired => Code::QueueTimeout,
+        Reason::Full | Reason::TooLate | Reason::TimedOut | Reason::Limited => Code::Full,
+    };
+    Refusal::not_run(code).with_retry_after(retry_after)
+}
+
+/// Looks for an upstream at each change of capacity and regularly, independently of the queue.
+async fn poll_for_target(
+    state: &Arc<State>,
+    job: &Job,
+    history: &History,
+) -> Result<Target, Refusal> {
+    let wait_until = Instant::now() + job.route.objective.mul_f64(QUEUE_FRACTION);
+    let wait_until = wait_until.min(job.deadline);
+    loop {
+        let changed = state.capacity_changed.notified();
+        let summary = match look(state, job, history)? {
+            Look::Target(target) => return Ok(target),
+            Look::Wait(summary) => summary,
+            Look::Later(left) => {
                 let now = Instant::now();
                 if now + left >= wait_until {
                     info!(id = job.id, service = %job.service, left_ms = millis(left),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::gateway::admit::wait;
 use crate::gateway::load;
 use crate::gateway::resume::Evidence;
 use crate::gateway::table::Kind;
@@ -49,6 +50,13 @@
     source: &'static str,
 }
 
+/// Label set of a queue of waiting requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByQueue {
+    service: String,
+    priority: u32,
+}
+
 type Histograms = Family<ByKind, Histogram, fn() -> Histogram>;
 
 /// The metrics and their registry.
@@ -58,6 +66,9 @@
     response_seconds: Histograms,
     first_event_seconds: Histograms,
     longest_gap_seconds: Histograms,
+    queue_seconds: Histograms,
+    queue_refused: Family<ByCode, Counter>,
+    queue_length: Family<ByQueue, Gauge>,
     refused: Family<ByCode, Counter>,
     lost: Family<ByCode, Counter>,
     resumed: Family<ByEvidence, Counter>,
@@ -107,6 +118,9 @@
             response_seconds: histograms(),
             first_event_seconds: histograms(),
             longest_gap_seconds: histograms(),
+            queue_seconds: histograms(),
+            queue_refused: Family::default(),
+            queue_length: Family::default(),
             refused: Family::default(),
             lost: Family::default(),
             resumed: Family::default(),
@@ -142,6 +156,21 @@
             "Longest pause between two events of a stream",
             it.longest_gap_seconds.clone(),
         );
+        registry.register(
+            "queue_seconds",
+            "Time that requests waited for an upstream before they were sent, if they did",
+            it.queue_seconds.clone(),
+        );
+        registry.register(
+            "queue_refused",
+            "Requests that were refused instead of waiting, or after it, by reason",
+            it.queue_refused.clone(),
+        );
+        registry.register(
+            "queue_length",
+            "Requests that wait for an upstream, by service and priority",
+            it.queue_length.clone(),
+        );
         registry.register("refused", "Requests refused", it.refused.clone());
         registry.register(
             "lost",
@@ -236,6 +265,32 @@
             .observe(longest_gap.as_secs_f64());
     }
 
+    /// Records how long a request waited in a queue before it was sent.
+    pub fn queued(&self, kind: Kind, waited: Duration) {
+        let histogram = self.queue_seconds.get_or_create(&by_kind(kind));
+        histogram.observe(waited.as_secs_f64());
+    }
+
+    /// Counts a request that was refused instead of waiting, or after it.
+    pub fn queue_refused(&self, reason: &'static str) {
+        self.queue_refused
+            .get_or_create(&ByCode { code: reason })
+            .inc();
+    }
+
+    /// Sets the number of waiting requests by service and priority.
+    pub fn set_queue_lengths(&self, lengths: &[wait::Length]) {
+        self.queue_length.clear();
+        for (service, priority, length) in lengths {
+            let label = ByQueue {
+                service: service.to_string(),
+                priority: u32::from(*priority),
+            };
+            let length = i64::try_from(*length).unwrap_or(i64::MAX);
+            self.queue_length.get_or_create(&label).set(length);
+        }
+    }
+
     /// Counts a refusal.
     pub fn refused(&self, code: Code) {
         self.refused.get_or_create(&by_code(code)).inc();
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -134,6 +134,7 @@
 
 fn gauges(state: &State) -> Gauges {
     let now = Instant::now();
+    state.meter.set_queue_lengths(&state.queues.lengths());
     let view = state.view();
     Gauges {
         upstreams: view.upstreams(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,7 +18,8 @@
 //! 13. `origins`: versions that began streams
 //! 14. `copies`: copies of the store that were given to others
 //! 15. `live_options`: the gateway settings in effect
-//! 16. `meter`: metrics, and the locks of the connection pool
+//! 16. `queues`: requests that wait, locked within its methods
+//! 17. `meter`: metrics, and the locks of the connection pool
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -36,6 +37,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::boot;
+use crate::gateway::admit;
 use crate::gateway::buffer;
 use crate::gateway::cold_start;
 use crate::gateway::connection;
@@ -110,6 +112,8 @@
     pub quarantine: Mutex<quarantine::Table>,
     /// Versions that began streams.
     pub origins: Mutex<origin::Table>,
+    /// Requests that wait for an upstream with spare capacity.
+    pub queues: Arc<admit::Queues>,
     /// Counters, gauges and histograms.
     pub meter: metrics::Meter,
     /// Connections to upstreams.
@@ -196,6 +200,7 @@
             })),
             quarantine: Mutex::new(quarantine::Table::new(quarantine::Limits::default())),
             origins: Mutex::default(),
+            queues: Arc::default(),
             meter: metrics::Meter::new(),
             pool: connection::Pool::default(),
             buffers: buffer::Budget::default(),
--- a/src/policy/fair.rs
+++ b/src/policy/fair.rs
@@ -124,8 +124,22 @@
     /// Returns an upper bound on the requests that are dequeued up to and
     /// including a new one of this workspace, if no more arrive.
     pub fn dequeues_until(&self, workspace: &ident::Workspace, weight: u32) -> usize {
-        let weight = weight.max(1) as usize;
         let own = self.lanes.get(workspace).map_or(0, |it| it.waiting.len()) + 1;
+        self.dequeues(own, workspace, weight)
+    }
+
+    /// Returns an upper bound on the requests that are dequeued up to and
+    /// including a queued one, if no more arrive.
+    pub fn dequeues_until_queued(&self, position: &Position) -> usize {
+        let Some(lane) = self.lanes.get(&position.workspace) else {
+            return 0;
+        };
+        let own = lane.waiting.range(..=(position.due, position.serial));
+        self.dequeues(own.count(), &position.workspace, lane.weight)
+    }
+
+    fn dequeues(&self, own: usize, workspace: &ident::Workspace, weight: u32) -> usize {
+        let weight = weight.max(1) as usize;
         let others = self.lanes.iter().filter(|it| it.0 != workspace);
         let ahead = others.map(|(_, lane)| {
             let fair = (own * lane.weight as usize).div_ceil(weight);
@@ -134,9 +148,13 @@
         own + ahead.sum::<usize>()
     }
 
-    /// Queues a request.
+    /// Queues a request that is due as its class says.
     pub fn push(&mut self, now: Instant, weight: u32, class: Class, item: Item<T>) -> Position {
-        let due = now + self.delay(class);
+        self.push_due(now + self.delay(class), weight, item)
+    }
+
+    /// Queues a request.
+    pub fn push_due(&mut self, due: Instant, weight: u32, item: Item<T>) -> Position {
         self.serial += 1;
         let position = Position {
             workspace: item.workspace.clone(),
@@ -158,21 +176,62 @@
 
     /// Removes and returns the next request.
     pub fn pop(&mut self) -> Option<Item<T>> {
-        let start = |lane: &Lane<T>| lane.finish.max(self.virtual_time);
-        let busy = self.lanes.iter().filter(|it| !it.1.waiting.is_empty());
-        let (workspace, start) = busy
-            .map(|(workspace, lane)| (workspace, start(lane)))
-            .min_by_key(|it| it.1)?;
-        let workspace = workspace.clone();
-        let lane = self.lanes.get_mut(&workspace)?;
-        let ((_, serial), item) = lane.waiting.pop_first()?;
+        let next = self.next(|_| true)?;
+        self.take(&next)
+    }
+
+    /// Returns the position of the next request that `fits`.
+    pub fn next(&self, fits: impl Fn(&T) -> bool) -> Option<Position> {
+        let fitting = self.lanes.iter().filter_map(|(workspace, lane)| {
+            let mut waiting = lane.waiting.iter();
+            let (key, _) = waiting.find(|(_, item)| fits(&item.ticket))?;
+            Some((self.start(lane), workspace, *key))
+        });
+        let (_, workspace, (due, serial)) = fitting.min_by_key(|it| it.0)?;
+        Some(Position {
+            workspace: workspace.clone(),
+            due,
+            serial,
+        })
+    }
+
+    /// Returns the ticket of a queued request.
+    pub fn get(&self, position: &Position) -> Option<&T> {
+        let lane = self.lanes.get(&position.workspace)?;
+        let item = lane.waiting.get(&(position.due, position.serial))?;
+        Some(&item.ticket)
+    }
+
+    /// Returns the ticket of a queued request, to be changed.
+    pub fn get_mut(&mut self, position: &Position) -> Option<&mut T> {
+        let lane = self.lanes.get_mut(&position.workspace)?;
+        let item = lane.waiting.get_mut(&(position.due, position.serial))?;
+        Some(&mut item.ticket)
+    }
+
+    /// Removes a request that is served, and charges its workspace. Requests of workspaces whose
+    /// turn was earlier keep it.
+    pub fn take(&mut self, position: &Position) -> Option<Item<T>> {
+        self.get(position)?;
+        let busy = self.lanes.values().filter(|it| !it.waiting.is_empty());
+        let earliest = busy.map(|lane| self.start(lane)).min()?;
+        let start = self.start(self.lanes.get(&position.workspace)?);
+        let lane = self.lanes.get_mut(&position.workspace)?;
+        let item = lane.waiting.remove(&(position.due, position.serial))?;
         lane.finish = start + REQUEST_COST / u64::from(lane.weight);
-        self.virtual_time = start;
-        self.deadlines.remove(&(item.deadline, serial));
+        self.virtual_time = earliest;
+        self.deadlines.remove(&(item.deadline, position.serial));
         self.drop_idle_lanes();
         Some(item)
     }
 
+    /// Returns the number of queued requests of each workspace that has any.
+    pub fn lengths(&self) -> impl Iterator<Item = (&ident::Workspace, usize)> {
+        let lanes = self.lanes.iter();
+        let lanes = lanes.map(|(workspace, lane)| (workspace, lane.waiting.len()));
+        lanes.filter(|(_, length)| *length > 0)
+    }
+
     /// Removes and returns one request whose deadline has passed.
     pub fn pop_expired(&mut self, now: Instant) -> Option<Item<T>> {
         let (key, _) = self.deadlines.first_key_value()?;
@@ -203,6 +262,11 @@
             .map(|item| item.ticket)
     }
 
+    /// Returns the virtual time at which the next request of a lane starts.
+    fn start(&self, lane: &Lane<T>) -> u64 {
+        lane.finish.max(self.virtual_time)
+    }
+
     fn delay(&self, class: Class) -> Duration {
         match class {
             Class::Urgent => Duration::ZERO,
