--- a/src/gateway/admit/wait.rs
+++ b/src/gateway/admit/wait.rs
@@ -29,7 +29,7 @@
 /// requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Maximum number of requests that wait at a host. One more of a workspace without any may wait.
+/// Maximum number of requests that wait at a host.
 const MAX_REQUESTS: usize = 1_024;
 
 /// Maximum size of their bodies.
