--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -31,6 +31,7 @@
 use crate::gateway::datagram::Sender;
 use crate::gateway::datagram::Summary;
 use crate::gateway::datagram::format::Encoded;
+use crate::gateway::datagram::format::Extension;
 use crate::gateway::gossip::pace::Round;
 use crate::gateway::gossip::receive::receive;
 use crate::gateway::health::Scope;
@@ -265,7 +266,11 @@
 /// Encodes a message, and records what it reports.
 fn encode(state: &State, now: Instant, message: &mut Message) -> Option<Vec<u8>> {
     let full = lengths(&message.report);
-    match message.encode() {
+    let extension = Extension {
+        demands: state.queues.demands(now),
+        ..Extension::default()
+    };
+    match message.encode_with(&extension) {
         Ok(bytes) => {
             record_reported(state, now, &full, &message.report);
             Some(bytes)
@@ -401,7 +406,11 @@
         placements: Vec::new(),
         ..summary.report.clone()
     });
-    match summary.encode() {
+    let extension = Extension {
+        demands: state.queues.zone_demands(now),
+        ..Extension::default()
+    };
+    match summary.encode_with(&extension) {
         Ok(datagrams) => {
             record_reported(state, now, &full, &summary.report);
             datagrams
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -180,6 +180,8 @@
 
 fn gauges(state: &State) -> Gauges {
     let now = Instant::now();
+    let queues = &state.queues;
+    state.meter.set_queues(&queues.lengths(), queues.yields());
     let view = state.view();
     Gauges {
         upstreams: view.upstreams(),
