--- a/tests/gateway_intake.rs
+++ b/tests/gateway_intake.rs
@@ -212,9 +212,9 @@
         text = text.replace(name, value);
     }
     // All others are numbers.
-    while let Some((before, after)) = text.split_once("= {{") {
+    while let Some((before, after)) = text.split_once("{{") {
         let (_, after) = after.split_once("}}").unwrap();
-        text = format!("{before}= 10{after}");
+        text = format!("{before}10{after}");
     }
     let options = Options::parse(&text).unwrap();
     assert_eq!(
--- a/tests/settings_template.rs
+++ b/tests/settings_template.rs
@@ -19,7 +19,7 @@
 const TEMPLATE: &str = include_str!("../deploy/settings.toml");
 
 /// Values for the placeholders that tests don't change.
-const VALUES: [(&str, &str); 17] = [
+const VALUES: [(&str, &str); 19] = [
     ("nodeName", "h1"),
     ("zone", "z1"),
     ("listen.front", "10.0.0.1:80"),
@@ -36,6 +36,8 @@
     ("bounds.coldOverage", "1.5"),
     ("bounds.coldSlack", "5"),
     ("limits.linkMbps", "1000.0"),
+    ("limits.memoryMb", "512"),
+    ("limits.maxFds", "8192"),
     ("bootstrap|json", "false"),
 ];
 
