Read X-Instance-Load, and use it where it is younger than reports of hosts

Cause: what other hosts reported of their requests is 0.8 to 3 s old, while upstreams state their load in nearly each response, which nothing read.

While it is younger than the reports, the load is the larger of the counted one and the stated one, moved by this host's own starts and ends since. Means are taken of the younger one, since the larger one is too high on average.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -386,8 +386,12 @@
     let notice = (state.names.notice)(&response.headers);
     for header in &notice.invalid {
         warn!(id = job.id, upstream = %upstream.id, %header, "upstream: unreadable header, ignored");
+        state.meter.unreadable_header();
     }
     let now = Instant::now();
+    if let Some(load) = notice.load {
+        lock(&state.loads).record_statement(now, &upstream.id, load.requests());
+    }
     let news = lock(&state.notices).record(now, sent, upstream, &notice);
     if news.is_leaving {
         info!(id = job.id, upstream = %upstream.id, is_draining = upstream.is_draining,
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -15,6 +15,26 @@
     pub tokens: u64,
 }
 
+/// What an upstream states of its load when it begins to respond.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct InstanceLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it runs concurrently.
+    pub slots: u32,
+    /// How many times as long as usual work takes there now; `None` if it doesn't say so.
+    pub slowdown: Option<f64>,
+}
+
+impl InstanceLoad {
+    /// Returns the requests there, running or waiting.
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// What an upstream announces of itself in a response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Notice {
@@ -27,6 +47,8 @@
     pub rejection_limit: Option<u32>,
     /// How long it wants no requests from this host, if it turned one away.
     pub rest: Option<Duration>,
+    /// Its load, if it states it.
+    pub load: Option<InstanceLoad>,
     /// The headers whose values can't be read, which are ignored.
     pub invalid: Vec<HeaderName>,
 }
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -10,6 +10,10 @@
 /// How long a report is valid.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 
+/// How long what an upstream stated of its load is used if reports of hosts are older still, or if
+/// there are none.
+const STATEMENT_LIFETIME: Duration = Duration::from_secs(1);
+
 /// Weight of a request in the moving average of the time that requests take.
 const DURATION_WEIGHT: f64 = 1.0 / 32.0;
 
@@ -76,6 +80,29 @@
     }
 }
 
+/// The load of an upstream, by the counts of hosts and its own statement.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Known {
+    /// Requests of all hosts in flight there: the larger of what hosts count and what the upstream
+    /// states, since either may lack some.
+    pub requests: u32,
+    /// Those of other hosts that have probably ended and been replaced by others.
+    pub unseen: f64,
+    /// Requests in flight there by the younger of the two. Unlike the larger one, it is not too
+    /// high on average, so that means can be taken of it.
+    pub latest: u32,
+}
+
+/// What an upstream stated of its load.
+#[derive(Clone, Copy, Debug)]
+struct Statement {
+    read_at: Instant,
+    /// Requests of all hosts there.
+    requests: u32,
+    /// Requests of this host there, by its own count at the same time.
+    own: u32,
+}
+
 /// Requests in flight, by upstream.
 pub type Counts = BTreeMap<ident::Upstream, u32>;
 
@@ -85,6 +112,8 @@
     /// Requests of this host.
     own: Counts,
     reports: BTreeMap<Source, Report>,
+    /// The latest statement of each upstream in a response to this host.
+    statements: BTreeMap<ident::Upstream, Statement>,
     /// Sum of the reports that came from the hosts themselves.
     near: Counts,
     /// Sum of the reports that came through relays of other zones.
@@ -106,6 +135,71 @@
         count(&self.own, upstream).saturating_add(reported)
     }
 
+    /// Records how many requests of all hosts an upstream stated to have.
+    pub fn record_statement(&mut self, now: Instant, upstream: &ident::Upstream, requests: u32) {
+        let statement = Statement {
+            read_at: now,
+            requests,
+            own: self.own(upstream),
+        };
+        self.statements.insert(upstream.clone(), statement);
+    }
+
+    /// Returns the load of an upstream. `age` is that of the reports, `duration` the time that
+    /// requests take on average, if it is known.
+    pub fn known(
+        &self,
+        now: Instant,
+        upstream: &ident::Upstream,
+        age: Age,
+        duration: Option<Duration>,
+    ) -> Known {
+        let counted = self.total(upstream);
+        let known = Known {
+            requests: counted,
+            unseen: self.unseen(upstream, Turnover::new(age, duration)),
+            latest: counted,
+        };
+        match self.stated(now, upstream, age) {
+            Some((stated, _)) if stated <= counted => Known {
+                latest: stated,
+                ..known
+            },
+            Some((stated, stated_age)) => {
+                let age = Age {
+                    near: Some(stated_age),
+                    far: None,
+                };
+                let others = stated - self.own(upstream);
+                Known {
+                    requests: stated,
+                    unseen: Turnover::new(age, duration).unseen(others, 0),
+                    latest: stated,
+                }
+            }
+            None => known,
+        }
+    }
+
+    /// Returns what an upstream stated, moved by the requests that this host started and ended
+    /// there since, and the statement's age; `None` unless it is younger than the reports.
+    fn stated(
+        &self,
+        now: Instant,
+        upstream: &ident::Upstream,
+        reports: Age,
+    ) -> Option<(u32, Duration)> {
+        let statement = self.statements.get(upstream)?;
+        let age = now.duration_since(statement.read_at);
+        let youngest = reports.near.or(reports.far).unwrap_or(Duration::MAX);
+        if age >= youngest.min(STATEMENT_LIFETIME) {
+            return None;
+        }
+        let own = self.own(upstream);
+        let moved = statement.requests.saturating_add(own);
+        Some((moved.saturating_sub(statement.own).max(own), age))
+    }
+
     /// Returns how many of the requests that other hosts reported at an upstream have probably
     /// ended, and been replaced by others that this host doesn't know of.
     pub fn unseen(&self, upstream: &ident::Upstream, turnover: Turnover) -> f64 {
@@ -201,8 +295,11 @@
         );
     }
 
-    /// Removes reports that are older than `REPORT_LIFETIME`.
+    /// Removes reports that are older than `REPORT_LIFETIME`, and statements that aren't used any
+    /// more.
     pub fn expire(&mut self, now: Instant) {
+        self.statements
+            .retain(|_, it| now.duration_since(it.read_at) < STATEMENT_LIFETIME);
         let is_old = |report: &Report| now.duration_since(report.received_at) >= REPORT_LIFETIME;
         let old = self.reports.iter().filter(|(_, report)| is_old(report));
         let old: Vec<Source> = old.map(|(source, _)| *source).collect();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -67,6 +67,7 @@
     handoffs: Family<ByCode, Counter>,
     left_out: Family<ByCode, Counter>,
     unreadable: Family<ByCode, Counter>,
+    unreadable_headers: Counter,
     upstreams: Gauge,
     hosts: Gauge,
     store_age_seconds: Gauge<f64, AtomicU64>,
@@ -116,6 +117,7 @@
             handoffs: Family::default(),
             left_out: Family::default(),
             unreadable: Family::default(),
+            unreadable_headers: Counter::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
             store_age_seconds: Gauge::default(),
@@ -183,6 +185,11 @@
             "Datagrams of other hosts that can't be read, by reason",
             it.unreadable.clone(),
         );
+        registry.register(
+            "unreadable_headers",
+            "Headers in which upstreams announce something that can't be read",
+            it.unreadable_headers.clone(),
+        );
         registry.register("upstreams", "Upstreams listed", it.upstreams.clone());
         registry.register("hosts", "Live hosts", it.hosts.clone());
         registry.register(
@@ -286,6 +293,11 @@
         self.unreadable.get_or_create(&label).inc();
     }
 
+    /// Counts a header of an upstream that can't be read.
+    pub fn unreadable_header(&self) {
+        self.unreadable_headers.inc();
+    }
+
     /// Sets the gauges and returns all metrics in the Prometheus text format.
     pub fn text(&self, gauges: Gauges) -> Result<String, std::fmt::Error> {
         let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -15,7 +15,6 @@
 use crate::gateway::health::Status;
 use crate::gateway::job::Job;
 use crate::gateway::limit;
-use crate::gateway::load;
 use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Choice;
@@ -93,16 +92,18 @@
                 Status::Healthy if zones.contains_key(&record.upstream.zone) => Status::Probe,
                 status => status,
             };
-            let turnover = load::Turnover::new(loads.age(now), loads.duration(&job.service));
+            let (age, duration) = (loads.age(now), loads.duration(&job.service));
+            let known = |id: &ident::Upstream| loads.known(now, id, age, duration);
             let candidates: Vec<Candidate<'_>> = usable
                 .iter()
                 .zip(quotas.iter().zip(&allowances).zip(&rooms))
                 .map(|(record, ((quota, allowance), room))| {
                     let id = &record.upstream.id;
+                    let load = known(id);
                     Candidate {
                         id,
-                        load: loads.total(id),
-                        unseen: loads.unseen(id, turnover),
+                        load: load.requests,
+                        unseen: load.unseen,
                         slots: record.upstream.slots,
                         is_local: record.upstream.zone == self.options.host.zone,
                         status: status(record),
@@ -117,7 +118,7 @@
                 .collect();
             let may_probe = job.route.kind.is_repeatable();
             let members = view.listed(&job.service).map(|record| Member {
-                load: loads.total(&record.upstream.id),
+                load: known(&record.upstream.id).latest,
                 status: status(record),
                 is_cold: record.cold_until > boot_now,
             });
