Estimate what upstreams can take, and place requests by it

Cause: upstreams share their machines with other work, and some slow down long before their slots are in use. Placement counted requests only, so that a slow upstream got as many as a fast one.

Change: gateway::capacity follows each upstream by the slowdown that it states, or else by how long its responses and events take relative to what is usual for the service. The present slowdown decides placement. The lasting one, in which noise of 600 ms is averaged, lowers the limit on concurrency by the gradient, down to a quarter of the slots, and raises it again; without readings, both return to what is usual. Plain upstreams are compared by load and slowdown, and a lowered one queues less. Requests that may not be repeated go to no upstream that states a queue of more than half of its slots. Among engines, work ahead is weighed by slowdown; a slow one that holds the prompt is compared with a copy at a fast one by the expected time to the first event. The caps stay as they are. Without a statement and with even responses, choices are the same as before. The table can also tell and merge readings, which the load test plays; messages don't carry them yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod accept;
 pub mod attempt;
 pub mod buffer;
+pub mod capacity;
 pub mod cold_start;
 pub mod connection;
 pub mod continuation;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,6 +20,8 @@
 use crate::gateway::accept::RETRY_AFTER_NO_UPSTREAM;
 use crate::gateway::accept::RETRY_AFTER_OTHER_HOST;
 use crate::gateway::accept::header_text;
+use crate::gateway::capacity;
+use crate::gateway::capacity::Sample;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Fault;
 use crate::gateway::crash;
@@ -219,7 +221,7 @@
     let upstream = lease.record.upstream.id.clone();
     let now = Instant::now();
     let condition = lease.condition;
-    info!(target: ROUTINE, id = job.id, %upstream, version = %lease.record.upstream.version, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = condition.load, unseen = (condition.unseen * 10.0).round() / 10.0, candidates = condition.candidates,
+    info!(target: ROUTINE, id = job.id, %upstream, version = %lease.record.upstream.version, prompt = format!("{:x}", job.prompt.key), shared_tokens = job.prompt.tokens, load = condition.load, unseen = tenths(condition.unseen), concurrency = tenths(condition.concurrency), slowdown = tenths(condition.slowdown), candidates = condition.candidates,
         usage = %condition.status, cold = condition.is_cold, warm = condition.is_holder, holder = lease.holder.as_ref().map(|it| it.upstream.id.as_str()), last_event, origin = job.origin,
         waited_ms = millis(now.duration_since(job.arrived)), "request: sent");
     match exchange(state, job, history, lease, last_event).await {
@@ -263,6 +265,11 @@
     Ok(Attempt::Failed(None))
 }
 
+/// Rounds a figure for the log.
+fn tenths(figure: f64) -> f64 {
+    (figure * 10.0).round() / 10.0
+}
+
 /// Records that a request was moved from a slow upstream to another one.
 pub fn record_move(
     state: &State,
@@ -391,6 +398,9 @@
     let now = Instant::now();
     if let Some(load) = notice.load {
         lock(&state.loads).record_statement(now, &upstream.id, load.requests());
+        if let Some(slowdown) = load.slowdown {
+            lock(&state.capacity).record(now, upstream, Sample::Stated(slowdown));
+        }
     }
     let news = lock(&state.notices).record(now, sent, upstream, &notice);
     if news.is_leaving {
@@ -625,6 +635,9 @@
     if parts.status.is_success() && (!is_genuine || is_encoded) {
         return Err(Loss::Unknown(Code::ForeignAnswer));
     }
+    if !job.route.kind.is_stream() {
+        capacity::observe(state, job, upstream, sent.elapsed());
+    }
     Ok(Exchange {
         parts,
         body,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -21,6 +21,7 @@
 use tracing::warn;
 
 use crate::boot;
+use crate::gateway::capacity;
 use crate::gateway::datagram;
 use crate::gateway::datagram::List;
 use crate::gateway::datagram::Message;
@@ -147,6 +148,7 @@
 async fn send(state: &State, socket: &UdpSocket, relay: &mut Relay) -> Sent {
     let now = Instant::now();
     lock(&state.loads).expire(now);
+    capacity::review(state, now);
     let (recipients, is_relayed, is_settling) = {
         let mut peers = lock(&state.peers);
         let targets = peers.targets(now);
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -145,6 +145,11 @@
         self.statements.insert(upstream.clone(), statement);
     }
 
+    /// Returns whether an upstream has stated its load lately.
+    pub fn is_stated(&self, upstream: &ident::Upstream) -> bool {
+        self.statements.contains_key(upstream)
+    }
+
     /// Returns the load of an upstream. `age` is that of the reports, `duration` the time that
     /// requests take on average, if it is known.
     pub fn known(
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::gateway::capacity;
 use crate::gateway::load;
 use crate::gateway::resume::Evidence;
 use crate::gateway::table::Kind;
@@ -68,6 +69,7 @@
     left_out: Family<ByCode, Counter>,
     unreadable: Family<ByCode, Counter>,
     unreadable_headers: Counter,
+    capacity_changes: Family<ByCode, Counter>,
     upstreams: Gauge,
     hosts: Gauge,
     store_age_seconds: Gauge<f64, AtomicU64>,
@@ -75,6 +77,8 @@
     store_era: Gauge,
     retained_items: Gauge,
     noticed_upstreams: Gauge,
+    lowered_upstreams: Gauge,
+    largest_slowdown: Gauge<f64, AtomicU64>,
     load_age_seconds: Family<BySource, Gauge<f64, AtomicU64>>,
 }
 
@@ -95,6 +99,8 @@
     pub retained: usize,
     /// Upstreams that have announced something of themselves.
     pub noticed: usize,
+    /// What upstreams can take.
+    pub capacity: capacity::table::Figures,
     /// Age of what other hosts reported of their requests.
     pub load_age: load::Age,
 }
@@ -118,6 +124,7 @@
             left_out: Family::default(),
             unreadable: Family::default(),
             unreadable_headers: Counter::default(),
+            capacity_changes: Family::default(),
             upstreams: Gauge::default(),
             hosts: Gauge::default(),
             store_age_seconds: Gauge::default(),
@@ -125,6 +132,8 @@
             store_era: Gauge::default(),
             retained_items: Gauge::default(),
             noticed_upstreams: Gauge::default(),
+            lowered_upstreams: Gauge::default(),
+            largest_slowdown: Gauge::default(),
             load_age_seconds: Family::default(),
             registry: Mutex::new(Registry::default()),
         };
@@ -190,6 +199,11 @@
             "Headers in which upstreams announce something that can't be read",
             it.unreadable_headers.clone(),
         );
+        registry.register(
+            "capacity_changes",
+            "Upstreams whose limit on concurrency was lowered or restored",
+            it.capacity_changes.clone(),
+        );
         registry.register("upstreams", "Upstreams listed", it.upstreams.clone());
         registry.register("hosts", "Live hosts", it.hosts.clone());
         registry.register(
@@ -217,6 +231,16 @@
             "Upstreams that have announced something of themselves",
             it.noticed_upstreams.clone(),
         );
+        registry.register(
+            "lowered_upstreams",
+            "Upstreams whose limit on concurrency is lowered",
+            it.lowered_upstreams.clone(),
+        );
+        registry.register(
+            "largest_slowdown",
+            "Largest present slowdown of an upstream, 1 if all are as usual",
+            it.largest_slowdown.clone(),
+        );
         registry.register(
             "load_age_seconds",
             "Mean age of what other hosts reported of their requests, by the way that it came, -1 without reports",
@@ -298,6 +322,12 @@
         self.unreadable_headers.inc();
     }
 
+    /// Counts that the limit of an upstream was lowered or restored.
+    pub fn capacity_changed(&self, change: &'static str) {
+        let label = ByCode { code: change };
+        self.capacity_changes.get_or_create(&label).inc();
+    }
+
     /// Sets the gauges and returns all metrics in the Prometheus text format.
     pub fn text(&self, gauges: Gauges) -> Result<String, std::fmt::Error> {
         let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
@@ -311,6 +341,8 @@
             .set(i64::try_from(gauges.era).unwrap_or(i64::MAX));
         self.retained_items.set(count(gauges.retained));
         self.noticed_upstreams.set(count(gauges.noticed));
+        self.lowered_upstreams.set(count(gauges.capacity.lowered));
+        self.largest_slowdown.set(gauges.capacity.slowest);
         let load_age = [
             ("host", gauges.load_age.near),
             ("relay", gauges.load_age.far),
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -142,6 +142,7 @@
         era: state.progress().position.era,
         retained: lock(&state.mirror).retained(),
         noticed: lock(&state.notices).len(),
+        capacity: lock(&state.capacity).figures(now),
         load_age: lock(&state.loads).age(now),
         version: view.route_table().map_or(0, |table| table.version),
     }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -52,6 +52,10 @@
 /// survive a network partition between zones.
 const LOCAL_PROMPT_TOKENS: u64 = 1_024;
 
+/// Length from which on a prompt that no engine holds prefers those with few running streams, in
+/// tokens. Shorter ones are read within 50 ms.
+const LONG_PROMPT_TOKENS: u64 = 4_096;
+
 /// Limit on the load of a plain upstream, in requests per slot. Above one, as a
 /// request queued there starts sooner than one queued here, and counts of other
 /// hosts are older than a request takes.
@@ -67,6 +71,40 @@
 /// caller's zone are preferred.
 const LOCAL_SLOT_LIMIT: f64 = 0.7;
 
+/// Slowdown from which on an engine that holds a prompt is compared with a copy of the prompt, and
+/// that moves new prompts to other engines. Hosts that know smaller slowdowns at different times
+/// would choose different engines for a prompt.
+const MIN_SLOWDOWN: f64 = 1.5;
+
+/// What an idle plain upstream costs that is twice as slow as usual, in requests per slot. With
+/// twice as much, a service whose slots are all needed leaves the slow ones idle too long.
+const IDLE_COST: f64 = 0.25;
+
+/// The same for an engine. Its loads are lower, as a stream takes longer with each other one.
+const IDLE_ENGINE_COST: f64 = 0.125;
+
+/// Share of its slots at which an upstream whose limit is lowered queues no requests.
+const MIN_QUEUE_SHARE: f64 = 0.5;
+
+/// Requests queued per slot at a plain upstream above which it gets none that may not be repeated:
+/// an upstream with a long queue resets connections, which may have run them.
+const MAX_ONCE_QUEUE: f64 = 0.5;
+
+/// Time to the first event of a stream at an idle engine that holds the prompt, in milliseconds: 12
+/// tokens of 2.77 ms, and some 1,300 tokens that the prompt has of its own.
+const FIRST_EVENT_MS: f64 = 48.0;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: f64 = 85.2;
+
+/// Time to copy a token from another engine, as a multiple of the time to read it. An assumption:
+/// the platform states no figure.
+const COPY_COST: f64 = 0.25;
+
+/// Part of the expected time at an engine that holds the prompt within which a copy must bring the
+/// first event, so that prompts aren't copied for small gains.
+const COPY_GAIN: f64 = 0.75;
+
 /// An upstream that may run a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate<'a> {
@@ -79,6 +117,12 @@
     pub unseen: f64,
     /// Requests that it runs concurrently.
     pub slots: u32,
+    /// Requests that it handles well at the same time. Its slots bound them.
+    pub concurrency: f64,
+    /// How many times as long as usual work takes there now.
+    pub slowdown: f64,
+    /// Whether it states its load in responses, so that its load is known to the moment.
+    pub states_load: bool,
     /// Whether it is in this host's zone.
     pub is_local: bool,
     /// Whether it may get requests.
@@ -100,6 +144,52 @@
     pub is_holder: bool,
 }
 
+impl Candidate<'_> {
+    /// Returns how many requests it handles well at the same time.
+    fn limit(&self) -> f64 {
+        self.concurrency.min(f64::from(self.slots)).max(1.0)
+    }
+
+    /// Returns its load as work ahead, up to a cap on its requests. `scale` is the cost of a
+    /// request at an upstream as fast as usual, `idle_cost` that of an idle one that is twice as
+    /// slow.
+    fn work(&self, cap: f64, scale: f64, idle_cost: f64) -> spread::Load {
+        let step = scale * self.request_cost();
+        let idle = (self.slowdown - 1.0) * idle_cost;
+        spread::Load {
+            known: f64::from(self.load) * step + idle,
+            unseen: self.unseen * step,
+            cap: cap * step + idle,
+            step,
+        }
+    }
+
+    /// Returns the cost of a request as a multiple of that at a usual upstream: by the present
+    /// slowdown or by the limit, whichever is worse. The limit is lowered because of the slowdown,
+    /// so that their product would count it twice.
+    fn request_cost(&self) -> f64 {
+        self.slowdown
+            .max(f64::from(self.slots.max(1)) / self.limit())
+    }
+
+    /// Returns the work ahead at an engine, up to a cap on its requests.
+    fn engine_work(&self, cap: f64) -> spread::Load {
+        self.work(cap, 1.0, IDLE_ENGINE_COST * f64::from(self.slots))
+    }
+
+    /// Returns how many times as long as at an idle engine a stream takes to begin.
+    fn delay(&self) -> f64 {
+        1.0 + f64::from(self.load) / self.limit()
+    }
+
+    /// Returns the expected time to the first event in milliseconds, if the engine has to get this
+    /// many tokens of the prompt from another one.
+    fn first_event_ms(&self, copied: u64) -> f64 {
+        let copy = copied as f64 / TOKENS_PER_MS * COPY_COST;
+        self.slowdown * (FIRST_EVENT_MS * self.delay() + copy)
+    }
+}
+
 /// Mean loads of the upstreams of a service, in requests of all hosts in flight.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Mean {
@@ -221,6 +311,7 @@
         .filter(|(_, it)| it.is_holder)
         .copied()
         .collect();
+    let holders = without_slow(prompt, mean, holders, &allowed);
     let is_held = eligible.iter().any(|(_, it)| it.is_holder);
     let overflow = match is_held {
         true => spread::overflow(&loads(mean, holder_cap, &holders)),
@@ -256,15 +347,31 @@
     }
 }
 
+/// Returns the engines that hold a prompt without those that are so slow that a copy of it at
+/// another engine is expected to bring the first event sooner.
+fn without_slow<'a, 'b>(
+    prompt: Prompt,
+    mean: Mean,
+    mut holders: Vec<Indexed<'a, 'b>>,
+    allowed: &[Indexed<'a, 'b>],
+) -> Vec<Indexed<'a, 'b>> {
+    let is_slow = |(_, it): &Indexed<'_, '_>| it.slowdown >= MIN_SLOWDOWN;
+    if !holders.iter().any(is_slow) {
+        return holders;
+    }
+    let is_near = prompt.tokens < LOCAL_PROMPT_TOKENS;
+    let others = in_zone(is_near, allowed).into_iter();
+    let others = others.filter(|(_, it)| !it.is_holder && NON_HOLDER_CAP.allows(mean.listed, it));
+    let copies = others.map(|(_, it)| it.first_event_ms(prompt.tokens));
+    let copy = copies.fold(f64::INFINITY, f64::min);
+    holders.retain(|it| !is_slow(it) || it.1.first_event_ms(0) * COPY_GAIN <= copy);
+    holders
+}
+
 /// Chooses an engine when all are above their caps: one of the least loaded, up to two requests
 /// per slot.
 fn queued(pool: &[Indexed<'_, '_>], draw: f64) -> Result<usize, f64> {
-    let loads = pool.iter().map(|(_, it)| spread::Load {
-        known: f64::from(it.load),
-        unseen: it.unseen,
-        cap: f64::from(it.slots) * 2.0,
-        step: 1.0,
-    });
+    let loads = pool.iter().map(|(_, it)| it.engine_work(it.limit() * 2.0));
     let at = spread::choose(&loads.collect::<Vec<_>>(), draw)?;
     pool.get(at).map(|(index, _)| *index).ok_or(draw)
 }
@@ -282,13 +389,8 @@
         let limit = cap
             .limit(mean.listed)
             .min(FALLBACK_CAP.limit(mean.listed) - margin);
-        spread::Load {
-            known: f64::from(it.load),
-            unseen: it.unseen,
-            // The last request below the limit is allowed.
-            cap: limit.ceil().min(f64::from(it.slots)),
-            step: 1.0,
-        }
+        // The last request below the limit is allowed.
+        it.engine_work(limit.ceil().min(it.limit().ceil()))
     };
     pool.iter().map(|(_, it)| load(it)).collect()
 }
@@ -303,10 +405,23 @@
     draw: f64,
 ) -> Result<usize, f64> {
     let rooms = loads(mean, NON_HOLDER_CAP, &pool);
+    // A long prompt delays all streams of its engine while it is read.
+    let avoids_streams =
+        prompt.tokens >= LONG_PROMPT_TOKENS && pool.iter().any(|(_, it)| it.states_load);
+    let weight = |it: &Candidate<'_>| {
+        let speed = match it.slowdown >= MIN_SLOWDOWN {
+            true => it.slowdown.powi(-2),
+            false => 1.0,
+        };
+        match avoids_streams {
+            true => speed / it.delay(),
+            false => speed,
+        }
+    };
     let free = pool.into_iter().zip(rooms);
     let free = free.filter(|(_, load)| load.room() > 0.0);
     let mut ranked: Vec<_> = free
-        .map(|((index, it), load)| (rank::score(prompt.key, it.id, 1.0), index, load))
+        .map(|((index, it), load)| (rank::score(prompt.key, it.id, weight(it)), index, load))
         .collect();
     ranked.sort_unstable_by(|(a, _, _), (b, _, _)| b.total_cmp(a));
     let mut left = overflow;
@@ -337,30 +452,37 @@
     best.map(|(index, _)| index)
 }
 
-/// Chooses a plain upstream: one of the least loaded, preferring the caller's zone while
-/// it has spare capacity.
+/// Chooses a plain upstream: one with the least load relative to what it can take at present,
+/// preferring the caller's zone while it has spare capacity.
 ///
-/// `draw` is uniform in 0..1. Unless `may_probe`, an upstream that is due for a probe is used
-/// only if no healthy one remains.
+/// `draw` is uniform in 0..1. Unless `may_probe`, the request may not be repeated: an upstream that
+/// is due for a probe is used only if no healthy one remains, and one that states a queue isn't
+/// used.
 pub fn plain(draw: f64, mean: Mean, candidates: &[Candidate<'_>], may_probe: bool) -> Choice {
     let eligible = match eligible(candidates, may_probe) {
         Ok(eligible) => eligible,
         Err(choice) => return choice,
     };
-    let may_send =
-        |it: &Candidate<'_>| it.load < it.slots.saturating_mul(SLOT_LIMIT) && may_exceed(mean, it);
+    let may_send = |it: &Candidate<'_>| {
+        let limit = match it.states_load && !may_probe {
+            true => f64::from(it.slots) * (1.0 + MAX_ONCE_QUEUE),
+            false => f64::from(it.slots.saturating_mul(SLOT_LIMIT)),
+        };
+        f64::from(it.load) < limit && may_exceed(mean, it)
+    };
     let allowed: Vec<_> = eligible.iter().filter(|(_, it)| may_send(it)).collect();
     let choose = |is_local: bool, limit: f64, draw: f64| {
         let pool = allowed.iter().filter(|(_, it)| !is_local || it.is_local);
         let pool: Vec<_> = pool.collect();
         let loads = pool.iter().map(|(_, it)| {
-            let slots = f64::from(it.slots.max(1));
+            let load = it.work(
+                plain_cap(limit, is_local, it),
+                1.0 / f64::from(it.slots.max(1)),
+                IDLE_COST,
+            );
             spread::Load {
-                known: f64::from(it.load) / slots + it.failure_rate * FAILURE_COST,
-                unseen: it.unseen / slots,
-                // The last request below the limit is allowed.
-                cap: (limit * slots).ceil() / slots,
-                step: 1.0 / slots,
+                known: load.known + it.failure_rate * FAILURE_COST,
+                ..load
             }
         });
         let chosen = spread::choose(&loads.collect::<Vec<_>>(), draw);
@@ -373,6 +495,26 @@
     }
 }
 
+/// Returns the requests up to which a plain upstream gets some. An upstream of the caller's zone that
+/// is slow is preferred only while that costs less than `limit`, in requests per slot. One whose
+/// limit is lowered queues fewer requests: they wait here instead, where another upstream may take
+/// them.
+fn plain_cap(limit: f64, is_local: bool, it: &Candidate<'_>) -> f64 {
+    let idle = match is_local {
+        true => (it.slowdown - 1.0) * IDLE_COST,
+        false => 0.0,
+    };
+    let slots = f64::from(it.slots.max(1));
+    let share = it.limit() / slots;
+    let queue = ((share - MIN_QUEUE_SHARE) / (1.0 - MIN_QUEUE_SHARE)).clamp(0.0, 1.0);
+    let most = 1.0 + (MAX_COST - 1.0) * queue;
+    // A low limit is soon exceeded by late counts of requests that have ended.
+    let late = it.unseen * (1.0 - queue);
+    // The last request below the limit is allowed.
+    let cap = ((limit - idle) / it.request_cost() * slots).min(most * it.limit() + late);
+    cap.ceil()
+}
+
 /// Returns whether an upstream above its cap may get a request: not if few can be chosen and it
 /// would get much more than the others. One that fails is used only where all do, and is compared
 /// with those: sound upstreams look like that too, after a cut or a moment of silence.
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::boot;
+use crate::gateway::capacity::Estimate;
 use crate::gateway::cold_start;
 use crate::gateway::health::Status;
 use crate::gateway::job::Job;
@@ -73,6 +74,7 @@
             })
             .collect();
         let rooms = self.rooms(now, &usable);
+        let estimates = self.estimates(now, &usable);
         let silences = self.zone_silences(now, &usable);
         let (choice, condition, summary) = {
             let health = lock(&self.health);
@@ -97,7 +99,8 @@
             let candidates: Vec<Candidate<'_>> = usable
                 .iter()
                 .zip(quotas.iter().zip(&allowances).zip(&rooms))
-                .map(|(record, ((quota, allowance), room))| {
+                .zip(&estimates)
+                .map(|((record, ((quota, allowance), room)), estimate)| {
                     let id = &record.upstream.id;
                     let load = known(id);
                     Candidate {
@@ -105,6 +108,9 @@
                         load: load.requests,
                         unseen: load.unseen,
                         slots: record.upstream.slots,
+                        concurrency: estimate.concurrency,
+                        slowdown: estimate.slowdown,
+                        states_load: loads.is_stated(id),
                         is_local: record.upstream.zone == self.options.host.zone,
                         status: status(record),
                         failure_rate: health.score(id),
@@ -132,6 +138,8 @@
                 Choice::Send(index) => candidates.get(index).map(|it| Condition {
                     load: it.load,
                     unseen: it.unseen,
+                    concurrency: it.concurrency,
+                    slowdown: it.slowdown,
                     candidates: candidates.len(),
                     status: it.status,
                     is_cold: it.cold_quota.is_some(),
@@ -312,6 +320,15 @@
         rooms.collect()
     }
 
+    /// Returns what some upstreams can take at present.
+    fn estimates(&self, now: Instant, upstreams: &[&Arc<Record>]) -> Vec<Estimate> {
+        let capacity = lock(&self.capacity);
+        let upstreams = upstreams.iter();
+        upstreams
+            .map(|record| capacity.estimate(now, &record.upstream))
+            .collect()
+    }
+
     /// Returns how many more requests this host may start at a cold upstream in the
     /// current window. `limit` is the rate for all hosts together, per second.
     fn cold_quota(&self, now: Instant, upstream: &Upstream, limit: f64) -> usize {
@@ -362,6 +379,10 @@
     pub load: u32,
     /// Those of other hosts that had probably ended and been replaced by others.
     pub unseen: f64,
+    /// Requests that it handled well at the same time.
+    pub concurrency: f64,
+    /// How many times as long as usual work took there.
+    pub slowdown: f64,
     /// Number of upstreams to choose from.
     pub candidates: usize,
     /// Whether it could get requests.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,15 +10,16 @@
 //! 5. `notices`: what upstreams announce
 //! 6. `reach`: services that this host can't connect to
 //! 7. `loads`: requests in flight
-//! 8. `cold_starts`: requests started at cold upstreams
-//! 9. `prefix_cache`: upstreams that hold prompts
-//! 10. `retry_budget`: the retry budget
-//! 11. `crashes`: requests that crashed upstreams
-//! 12. `quarantine`: prompt segments that crashed upstreams
-//! 13. `origins`: versions that began streams
-//! 14. `copies`: copies of the store that were given to others
-//! 15. `live_options`: the gateway settings in effect
-//! 16. `meter`: metrics, and the locks of the connection pool
+//! 8. `capacity`: what upstreams can take
+//! 9. `cold_starts`: requests started at cold upstreams
+//! 10. `prefix_cache`: upstreams that hold prompts
+//! 11. `retry_budget`: the retry budget
+//! 12. `crashes`: requests that crashed upstreams
+//! 13. `quarantine`: prompt segments that crashed upstreams
+//! 14. `origins`: versions that began streams
+//! 15. `copies`: copies of the store that were given to others
+//! 16. `live_options`: the gateway settings in effect
+//! 17. `meter`: metrics, and the locks of the connection pool
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -37,6 +38,7 @@
 
 use crate::boot;
 use crate::gateway::buffer;
+use crate::gateway::capacity;
 use crate::gateway::cold_start;
 use crate::gateway::connection;
 use crate::gateway::follow;
@@ -98,6 +100,8 @@
     pub reach: Mutex<reach::Table>,
     /// Requests in flight by upstream.
     pub loads: Mutex<load::Table>,
+    /// What upstreams can take at present.
+    pub capacity: Mutex<capacity::Table>,
     /// Requests started at cold upstreams.
     pub cold_starts: Mutex<cold_start::Table>,
     /// Upstreams that hold prompts.
@@ -186,6 +190,7 @@
             notices: Mutex::default(),
             reach: Mutex::default(),
             loads: Mutex::default(),
+            capacity: Mutex::default(),
             cold_starts: Mutex::default(),
             prefix_cache: Mutex::default(),
             retry_budget: Mutex::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -28,6 +28,8 @@
 use crate::gateway::attempt::Exchange;
 use crate::gateway::attempt::History;
 use crate::gateway::attempt::Target;
+use crate::gateway::capacity;
+use crate::gateway::capacity::usual::Pace;
 use crate::gateway::continuation;
 use crate::gateway::crash;
 use crate::gateway::forward;
@@ -95,6 +97,8 @@
     /// Time from the request's arrival to the first event; zero before it.
     first_event_after: Duration,
     longest_gap: Duration,
+    /// Time that events of the current upstream take.
+    pace: Pace,
     /// When the last events were forwarded.
     forwarded_at: Instant,
 }
@@ -150,6 +154,7 @@
         is_over: false,
         first_event_after: Duration::ZERO,
         longest_gap: Duration::ZERO,
+        pace: Pace::default(),
         forwarded_at: Instant::now(),
     };
     let first = match events.next().await {
@@ -190,7 +195,9 @@
             let Some(exchange) = &mut self.exchange else {
                 return Some(Err(self.fail(Code::UpstreamLost)));
             };
+            let asked = Instant::now();
             let frame = timeout_at(limit, exchange.body.frame()).await;
+            self.pace.record_wait(asked.elapsed());
             let code = match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(chunk) = frame.into_data() {
@@ -259,6 +266,7 @@
         }
         if !events.is_empty() {
             self.record_version();
+            self.record_pace(self.history.events - before);
             let now = Instant::now();
             match self.has_begun() {
                 true => {
@@ -279,6 +287,17 @@
         !self.first_event_after.is_zero()
     }
 
+    /// Records how long events of the current upstream take.
+    fn record_pace(&mut self, events: u64) {
+        let events = u32::try_from(events).unwrap_or(u32::MAX);
+        if let Some(took) = self.pace.record_events(events)
+            && let Some(exchange) = self.exchange.as_ref().filter(|it| it.lease.is_some())
+        {
+            let upstream = &exchange.record.upstream;
+            capacity::observe(&self.state, &self.job, upstream, took);
+        }
+    }
+
     /// Binds the stream to the version of the upstream that sends its first events.
     fn record_version(&mut self) {
         if let Some(exchange) = &self.exchange
@@ -401,6 +420,7 @@
     ) -> Result<(), Truncated> {
         // Drops the bytes of an incomplete event of the previous upstream.
         self.splitter = Splitter::default();
+        self.pace = Pace::default();
         self.is_resumed = true;
         self.has_numbered_event = false;
         self.limit_factor = 1;
