Hosts tell each other the slowdowns that upstreams state

Cause: a host sees 0.05 to 2 responses a second of an upstream, too few to follow changes of its speed within a second or two.

Change: messages carry the youngest readings of upstreams that aren't as usual, at most 16 of eight bytes, in the appended map under the name `capacity`, as far as they fit a datagram; what has no room is counted. A host's message has those that it read itself within 1 s, a zone's summary those of all its hosts. A younger reading replaces an older one. Hosts of earlier builds ignore the map. Response times within 20 ms of the average count as usual.

--- a/src/gateway/capacity/exchange.rs
+++ b/src/gateway/capacity/exchange.rs
@@ -12,14 +12,23 @@
 use crate::gateway::capacity::table::Table;
 use crate::log::millis;
 
-/// Maximum number of readings in a message.
-pub const MAX_READINGS: usize = 24;
+/// Maximum number of readings in a message. A host sends 60 messages a second, so that readings
+/// take at most 8.4 KB/s.
+pub const MAX_READINGS: usize = 16;
 
-/// Age from which on a reading isn't told. The one that follows an upstream knows as much by then.
+/// Age from which on a reading isn't merged, nor told to another zone.
 const MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Age from which on a host doesn't tell what it read itself. Messages to the same host follow each
+/// other by 0.6 s, so each reading is told once or twice.
+const MAX_OWN_AGE: Duration = Duration::from_secs(1);
+
+/// Deviation from the usual slowdown from which on a reading is told, also one that is as usual if
+/// the lasting slowdown still deviates. Hosts take an upstream that they don't hear of as usual.
+const MIN_DEVIATION: f64 = 0.1;
+
 /// Encoded size of a reading.
-const BYTES: usize = 8;
+pub const BYTES: usize = 8;
 
 /// Slowdowns are encoded in hundredths.
 const SCALE: f64 = 100.0;
@@ -72,17 +81,21 @@
         }
     }
 
-    /// Returns the youngest readings: those that this host read itself, or in a summary for another
-    /// zone those of all hosts.
+    /// Returns the youngest readings of upstreams that aren't as usual: those that this host read
+    /// itself, or in a summary for another zone those of all hosts.
     pub fn readings(&self, now: Instant, is_summary: bool) -> Vec<Reading> {
         let entries = self.entries.iter();
         let readings = entries.filter_map(|(key, entry)| {
-            let (read_at, slowdown) = match is_summary {
-                true => entry.stated,
-                false => entry.own,
-            }?;
+            let ((read_at, slowdown), max_age) = match is_summary {
+                true => (entry.stated?, MAX_AGE),
+                false => (entry.own?, MAX_OWN_AGE),
+            };
             let age = now.saturating_duration_since(read_at);
-            (age < MAX_AGE).then_some(Reading {
+            let lasting = entry.tracker.status(now).lasting;
+            let is_usual = [slowdown, lasting]
+                .iter()
+                .all(|it| (it - 1.0).abs() < MIN_DEVIATION);
+            (age < max_age && !is_usual).then_some(Reading {
                 key: *key,
                 slowdown,
                 age,
--- a/src/gateway/capacity/table.rs
+++ b/src/gateway/capacity/table.rs
@@ -52,7 +52,7 @@
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Entry {
-    tracker: Tracker,
+    pub(super) tracker: Tracker,
     /// The latest slowdown that the upstream stated to any host.
     pub(super) stated: Option<(Instant, f64)>,
     /// The latest that it stated to this host.
--- a/src/gateway/capacity/usual.rs
+++ b/src/gateway/capacity/usual.rs
@@ -16,6 +16,10 @@
 /// Ratio to the average below which a response is as usual. Responses differ by what was asked.
 const MIN_RATIO: f64 = 2.0;
 
+/// Deviation from the average below which a response is as usual. The network and a busy host delay
+/// responses too, and quick ones by several times their length.
+const MIN_DELAY: Duration = Duration::from_millis(20);
+
 /// Number of events of a stream that are measured together. Several may arrive at once.
 const EVENTS: u32 = 8;
 
@@ -61,11 +65,13 @@
         mean.responses = mean.responses.saturating_add(1);
         let seconds = took.as_secs_f64();
         let weight = WEIGHT.max(1.0 / f64::from(mean.responses));
+        let delay = seconds - mean.seconds;
         let ratio = seconds / mean.seconds;
-        mean.seconds += (seconds - mean.seconds) * weight;
-        match ratio {
-            ratio if mean.responses > MIN_RESPONSES && ratio >= MIN_RATIO => ratio,
-            _ => 1.0,
+        mean.seconds += delay * weight;
+        let is_slow = ratio >= MIN_RATIO && delay >= MIN_DELAY.as_secs_f64();
+        match mean.responses > MIN_RESPONSES && is_slow {
+            true => ratio,
+            false => 1.0,
         }
     }
 }
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -22,6 +22,8 @@
 use strum::VariantArray;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gateway::capacity::exchange;
+use crate::gateway::capacity::exchange::Reading;
 use crate::gateway::load;
 use crate::gateway::notice;
 use crate::gateway::peers;
@@ -422,6 +424,8 @@
     /// Newest format that its sender reads. One that looks for hosts of any build sends older
     /// formats too.
     pub format: u8,
+    /// Slowdowns that upstreams stated to other hosts.
+    pub readings: Vec<Reading>,
 }
 
 /// Decodes a datagram of this format or of an older one.
@@ -442,10 +446,12 @@
         }
         unknown => return Err(Fault::Version(unknown)),
     };
-    let newest = format::Extension::read(rest)?.newest;
+    let extension = format::Extension::read(rest)?;
+    let newest = extension.newest.unwrap_or_default();
     Ok(Received {
         datagram,
-        format: newest.unwrap_or_default().clamp(*version, VERSION),
+        format: newest.clamp(*version, VERSION),
+        readings: exchange::decode(&extension.capacity),
     })
 }
 
--- a/src/gateway/datagram/format.rs
+++ b/src/gateway/datagram/format.rs
@@ -12,8 +12,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::DATAGRAM_BYTES;
 use super::Fault;
 use super::VERSION;
+use crate::gateway::capacity::exchange;
+use crate::gateway::capacity::exchange::Reading;
 
 /// Oldest format that is read.
 pub const OLDEST: u8 = 5;
@@ -31,6 +34,9 @@
 /// it.
 const MAX_DEPTH: usize = 64;
 
+/// Bytes of an extension with readings besides the readings: the map, the name and the length.
+const CAPACITY_OVERHEAD: usize = 12;
+
 /// The structure that a field belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Structure {
@@ -109,11 +115,14 @@
 
 /// What builds append to a datagram since its structures are fixed. Fields that a build doesn't
 /// know are ignored.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Extension {
     /// Newest format that the sender reads, in a datagram of an older one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub newest: Option<u8>,
+    /// Slowdowns that upstreams stated, as [`exchange`] encodes them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "serde_bytes")]
+    pub capacity: Vec<u8>,
 }
 
 impl Extension {
@@ -126,6 +135,22 @@
         deserializer.set_max_depth(MAX_DEPTH);
         Ok(Self::deserialize(&mut deserializer)?)
     }
+
+    /// Appends readings to a datagram of the newest format that has no extension yet, the youngest
+    /// first and as many as fit. Returns how many had no room.
+    pub fn append_readings(bytes: &mut Vec<u8>, readings: &[Reading]) -> Result<usize, Fault> {
+        let room = DATAGRAM_BYTES.saturating_sub(bytes.len() + CAPACITY_OVERHEAD);
+        let count = readings.len().min(room / exchange::BYTES);
+        let (sent, left_out) = readings.split_at(count);
+        if !sent.is_empty() {
+            let extension = Self {
+                newest: None,
+                capacity: exchange::encode(sent),
+            };
+            bytes.extend(rmp_serde::to_vec_named(&extension)?);
+        }
+        Ok(left_out.len())
+    }
 }
 
 /// Returns the body of a datagram of an older format as one of the newest, and what follows it.
@@ -276,6 +301,7 @@
     bytes.extend(reduce(format, &full)?);
     let extension = Extension {
         newest: Some(VERSION),
+        ..Extension::default()
     };
     bytes.extend(rmp_serde::to_vec_named(&extension)?);
     Ok(bytes)
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -31,6 +31,7 @@
 use crate::gateway::datagram::Sender;
 use crate::gateway::datagram::Summary;
 use crate::gateway::datagram::format::Encoded;
+use crate::gateway::datagram::format::Extension;
 use crate::gateway::gossip::receive::receive;
 use crate::gateway::health::Scope;
 use crate::gateway::origin;
@@ -283,8 +284,9 @@
 fn encode(state: &State, now: Instant, message: &mut Message) -> Option<Vec<u8>> {
     let full = lengths(&message.report);
     match message.encode() {
-        Ok(bytes) => {
+        Ok(mut bytes) => {
             record_reported(state, now, &full, &message.report);
+            append_readings(state, now, &mut bytes, false);
             Some(bytes)
         }
         Err(error) => {
@@ -294,6 +296,17 @@
     }
 }
 
+/// Appends the slowdowns that upstreams stated to this host, or in a summary to any, as far as they
+/// fit.
+fn append_readings(state: &State, now: Instant, bytes: &mut Vec<u8>, is_summary: bool) {
+    let readings = lock(&state.capacity).readings(now, is_summary);
+    match Extension::append_readings(bytes, &readings) {
+        Ok(0) => {}
+        Ok(left_out) => state.meter.left_out("capacity", left_out),
+        Err(error) => warn!(%error, "peers: can't append to a message"),
+    }
+}
+
 /// Returns the number of items of each list of a report.
 fn lengths(report: &Report) -> Vec<(List, usize)> {
     let lists = List::VARIANTS.iter();
@@ -419,8 +432,11 @@
         ..summary.report.clone()
     });
     match summary.encode() {
-        Ok(datagrams) => {
+        Ok(mut datagrams) => {
             record_reported(state, now, &full, &summary.report);
+            if let Some(shortest) = datagrams.iter_mut().min_by_key(|it| it.len()) {
+                append_readings(state, now, shortest, true);
+            }
             datagrams
         }
         Err(error) => {
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -9,6 +9,7 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::gateway::capacity::exchange::Reading;
 use crate::gateway::datagram;
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::Received;
@@ -33,7 +34,11 @@
     let IpAddr::V4(address) = from.ip() else {
         return false;
     };
-    let Received { datagram, format } = match datagram::decode(bytes) {
+    let Received {
+        datagram,
+        format,
+        readings,
+    } = match datagram::decode(bytes) {
         Ok(received) => received,
         Err(error) => {
             warn!(%error, %from, "peers: can't decode a datagram");
@@ -64,6 +69,7 @@
                 false => {}
             }
             merge_notices(state, &message.report.notices, unread);
+            merge_readings(state, &readings, unread);
             let from = Reporter {
                 address,
                 format,
@@ -85,6 +91,7 @@
             let is_direct = summary.address == address;
             let source = summary.source();
             merge_notices(state, &summary.report.notices, unread);
+            merge_readings(state, &readings, unread);
             let from = Reporter {
                 address: summary.address,
                 format,
@@ -184,3 +191,12 @@
         }
     }
 }
+
+/// Merges slowdowns that upstreams stated to other hosts.
+fn merge_readings(state: &State, readings: &[Reading], unread: Duration) {
+    let now = Instant::now();
+    let mut capacity = lock(&state.capacity);
+    for reading in readings {
+        capacity.merge(now, reading, unread);
+    }
+}
--- a/tests/gateway_capacity.rs
+++ b/tests/gateway_capacity.rs
@@ -4,8 +4,14 @@
 
 use masticmoor::gateway::capacity::Sample;
 use masticmoor::gateway::capacity::Table;
+use masticmoor::gateway::capacity::exchange;
+use masticmoor::gateway::capacity::exchange::Reading;
 use masticmoor::gateway::capacity::table::Key;
 use masticmoor::gateway::capacity::usual::Work;
+use masticmoor::gateway::datagram;
+use masticmoor::gateway::datagram::DATAGRAM_BYTES;
+use masticmoor::gateway::datagram::Origins;
+use masticmoor::gateway::datagram::format::Extension;
 use masticmoor::gateway::health::Status;
 use masticmoor::gateway::load;
 use masticmoor::gateway::placement;
@@ -170,19 +176,22 @@
 #[tokio::test(start_paused = true)]
 async fn uneven_responses_count_only_when_they_are_far_from_usual() {
     let mut table = Table::default();
-    let mut observe = async |ms: u64| {
+    let mut observe = async |work: Work, ms: u64| {
         advance(SECOND / 10).await;
-        let sample = Sample::Observed(Work::Idempotent, Duration::from_millis(ms));
+        let sample = Sample::Observed(work, Duration::from_millis(ms));
         table.record(Instant::now(), &upstream(1), sample);
         estimate(&table)
     };
     for ms in [40, 70, 60, 75, 55].repeat(40) {
-        assert_eq!(observe(ms).await, (16.0, 1.0));
+        assert_eq!(observe(Work::Idempotent, ms).await, (16.0, 1.0));
+    }
+    for ms in [0, 1, 0, 2, 19].repeat(40) {
+        assert_eq!(observe(Work::Event, ms).await, (16.0, 1.0));
     }
     for _ in 0..5 {
-        observe(240).await;
+        observe(Work::Idempotent, 240).await;
     }
-    assert!(observe(240).await.1 > 1.5);
+    assert!(observe(Work::Idempotent, 240).await.1 > 1.5);
     assert_ne!(Key::of(&upstream(1)), Key::of(&upstream(2)));
 }
 
@@ -226,3 +235,55 @@
     // Above 1.4 times the mean and 1.5, it gets no prompt that it doesn't hold.
     assert_eq!(choose(2.5, 8), Choice::Send(0));
 }
+
+/// A message must fit a datagram whatever is appended to it, and bytes of any sender are read.
+#[tokio::test(start_paused = true)]
+async fn readings_reach_other_hosts_as_far_as_they_fit_and_younger_ones_hold() {
+    let (mut sender, mut table) = (Table::default(), Table::default());
+    play(&mut sender, 1, 2.53).await;
+    advance(SECOND / 4).await;
+    let now = Instant::now();
+    let readings = sender.readings(now, false);
+    let key = Key::of(&upstream(1));
+    let age = SECOND / 4;
+    let slowdown = 2.53;
+    assert_eq!(readings, [Reading { key, slowdown, age }]);
+    assert_eq!(exchange::decode(&exchange::encode(&readings)), readings);
+    let mut bytes = Origins::default().encode().unwrap().remove(0);
+    let length = bytes.len();
+    assert_eq!(
+        Extension::append_readings(&mut bytes, &readings).unwrap(),
+        0
+    );
+    assert_eq!(bytes.len(), length + 20);
+    assert_eq!(datagram::decode(&bytes).unwrap().readings, readings);
+    let mut full = vec![0; DATAGRAM_BYTES - 20];
+    let two = [readings[0], readings[0]];
+    assert_eq!(Extension::append_readings(&mut full, &two).unwrap(), 1);
+    assert_eq!(full.len(), DATAGRAM_BYTES);
+
+    // The one of another host is older than this host's own, or has waited too long.
+    table.record(now, &upstream(1), Sample::Stated(1.0));
+    table.merge(now, &readings[0], Duration::ZERO);
+    assert_eq!(estimate(&table), (16.0, 1.0));
+    advance(SECOND).await;
+    let now = Instant::now();
+    table.merge(now, &readings[0], SECOND * 2);
+    assert_eq!(estimate(&table), (16.0, 1.0));
+    table.merge(now, &readings[0], Duration::ZERO);
+    assert!(estimate(&table).1 > 1.5);
+    // It goes on to other zones, but isn't told as one that this host read.
+    assert_eq!(table.readings(now, true)[0].slowdown, 2.53);
+    assert_eq!(table.readings(now, false), []);
+    for length in 0..40 {
+        exchange::decode(&vec![0xff; length]);
+        table.merge(
+            now,
+            &Reading {
+                slowdown: 0.0,
+                ..readings[0]
+            },
+            Duration::ZERO,
+        );
+    }
+}
