--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -23,6 +23,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::admit::share::Demand;
+use crate::gateway::capacity::exchange;
+use crate::gateway::capacity::exchange::Reading;
 use crate::gateway::load;
 use crate::gateway::notice;
 use crate::gateway::peers;
@@ -453,6 +455,8 @@
     pub format: u8,
     /// Requests that wait at its sender, or in the zone that it summarizes.
     pub demands: Vec<Demand>,
+    /// Slowdowns that upstreams stated to other hosts.
+    pub readings: Vec<Reading>,
 }
 
 /// Decodes a datagram of this format or of an older one.
@@ -473,11 +477,13 @@
         }
         unknown => return Err(Fault::Version(unknown)),
     };
-    let format::Extension { newest, demands } = format::Extension::read(rest)?;
+    let extension = format::Extension::read(rest)?;
+    let newest = extension.newest.unwrap_or_default();
     Ok(Received {
         datagram,
-        demands,
-        format: newest.unwrap_or_default().clamp(*version, VERSION),
+        demands: extension.demands,
+        format: newest.clamp(*version, VERSION),
+        readings: exchange::decode(&extension.capacity),
     })
 }
 
--- a/src/gateway/datagram/format.rs
+++ b/src/gateway/datagram/format.rs
@@ -12,9 +12,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::DATAGRAM_BYTES;
 use super::Fault;
 use super::VERSION;
 use crate::gateway::admit::share::Demand;
+use crate::gateway::capacity::exchange;
+use crate::gateway::capacity::exchange::Reading;
 
 /// Oldest format that is read.
 pub const OLDEST: u8 = 5;
@@ -32,6 +35,9 @@
 /// it.
 const MAX_DEPTH: usize = 64;
 
+/// Bytes of an extension with readings besides the readings: the map, the name and the length.
+const CAPACITY_OVERHEAD: usize = 12;
+
 /// The structure that a field belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Structure {
@@ -118,6 +124,9 @@
     /// Requests that wait at the sender, or in its zone.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demands: Vec<Demand>,
+    /// Slowdowns that upstreams stated, as [`exchange`] encodes them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "serde_bytes")]
+    pub capacity: Vec<u8>,
 }
 
 impl Extension {
@@ -138,6 +147,27 @@
         deserializer.set_max_depth(MAX_DEPTH);
         Ok(Self::deserialize(&mut deserializer)?)
     }
+
+    /// Adds readings to this extension at the end of a datagram of the newest format, the youngest
+    /// first and as many as fit. Returns how many had no room.
+    pub fn append_readings(
+        &self,
+        bytes: &mut Vec<u8>,
+        readings: &[Reading],
+    ) -> Result<usize, Fault> {
+        let room = DATAGRAM_BYTES.saturating_sub(bytes.len() + CAPACITY_OVERHEAD);
+        let count = readings.len().min(room / exchange::BYTES);
+        let (sent, left_out) = readings.split_at(count);
+        if !sent.is_empty() {
+            let extension = Self {
+                capacity: exchange::encode(sent),
+                ..self.clone()
+            };
+            bytes.truncate(bytes.len().saturating_sub(self.encode()?.len()));
+            bytes.extend(extension.encode()?);
+        }
+        Ok(left_out.len())
+    }
 }
 
 /// Returns the body of a datagram of an older format as one of the newest, and what follows it.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -22,6 +22,7 @@
 use tracing::warn;
 
 use crate::boot;
+use crate::gateway::capacity;
 use crate::gateway::datagram;
 use crate::gateway::datagram::List;
 use crate::gateway::datagram::Message;
@@ -133,6 +134,7 @@
 async fn send(state: &State, socket: &UdpSocket, relay: &mut Relay) -> Round {
     let now = Instant::now();
     lock(&state.loads).expire(now);
+    capacity::review(state, now);
     let (recipients, is_relayed, is_settling) = {
         let mut peers = lock(&state.peers);
         let targets = peers.targets(now);
@@ -271,8 +273,9 @@
         ..Extension::default()
     };
     match message.encode_with(&extension) {
-        Ok(bytes) => {
+        Ok(mut bytes) => {
             record_reported(state, now, &full, &message.report);
+            append_readings(state, now, &mut bytes, &extension, false);
             Some(bytes)
         }
         Err(error) => {
@@ -282,6 +285,23 @@
     }
 }
 
+/// Appends the slowdowns that upstreams stated to this host, or in a summary to any, as far as they
+/// fit.
+fn append_readings(
+    state: &State,
+    now: Instant,
+    bytes: &mut Vec<u8>,
+    extension: &Extension,
+    is_summary: bool,
+) {
+    let readings = lock(&state.capacity).readings(now, is_summary);
+    match extension.append_readings(bytes, &readings) {
+        Ok(0) => {}
+        Ok(left_out) => state.meter.left_out("capacity", left_out),
+        Err(error) => warn!(%error, "peers: can't append to a message"),
+    }
+}
+
 /// Returns the number of items of each list of a report.
 fn lengths(report: &Report) -> Vec<(List, usize)> {
     let lists = List::VARIANTS.iter();
@@ -411,8 +431,17 @@
         ..Extension::default()
     };
     match summary.encode_with(&extension) {
-        Ok(datagrams) => {
+        Ok(mut datagrams) => {
             record_reported(state, now, &full, &summary.report);
+            let shortest = datagrams.iter_mut().enumerate();
+            if let Some((index, bytes)) = shortest.min_by_key(|(_, it)| it.len()) {
+                // The first datagram of a summary has the extension.
+                let extension = match index {
+                    0 => extension,
+                    _ => Extension::default(),
+                };
+                append_readings(state, now, bytes, &extension, true);
+            }
             datagrams
         }
         Err(error) => {
