Take out the exchange of waiting requests, let a drain age, and send nothing late

Cause: a request whose workspace got more than one that waits elsewhere yields for 80 ms, which is more than the 60 ms that a plain request of an objective of 120 ms waits: it was refused without having looked. The review of the part found two more by reading: the drain of a priority isn't measured while nothing of it is queued, so that an overload's rate refuses all of it afterwards; and a connection that is opened after the deadline was still used.

Ruled out: the bounds on bodies and connections (book-commit alone fell).

Change: the exchange is reverted; the rate of a drain is relied on for 2 s after its last sample; a request whose deadline passes while its connection is opened isn't sent. Of the tests, those of the exchange go with it; one for the drain is new.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -4,13 +4,11 @@
 //! - [`turn`]: which waiting request looks for an upstream, and when
 //! - [`estimate`]: how long a request is expected to wait
 //! - [`retry`]: when a refused caller is to return, and the place that is kept for it
-//! - [`share`]: fairness among the requests that wait at different hosts
 //! - [`wait`]: the queues of a host, and the wait of a request in them
 
 pub mod estimate;
 pub mod queue;
 pub mod retry;
-pub mod share;
 pub mod turn;
 pub mod wait;
 
--- a/src/gateway/admit/estimate.rs
+++ b/src/gateway/admit/estimate.rs
@@ -13,6 +13,10 @@
 /// Number of served requests from which on the average is relied on to refuse a request at once.
 const MIN_SAMPLES: u32 = 8;
 
+/// How long a rate is relied on after the last request was served. While nothing of a priority is
+/// queued, its rate isn't measured, and one of an overload that is over would refuse all.
+const SAMPLE_LIFETIME: Duration = Duration::from_secs(2);
+
 /// How long a request is expected to wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Estimate {
@@ -32,11 +36,17 @@
     /// Moving average in seconds.
     mean: f64,
     samples: u32,
+    /// When the last sample was taken.
+    sampled_at: Option<Instant>,
 }
 
 impl Pace {
     fn record(&mut self, now: Instant) {
         if let Some(since) = self.since.replace(now) {
+            if !self.is_current(now) {
+                self.samples = 0;
+            }
+            self.sampled_at = Some(now);
             let seconds = now.saturating_duration_since(since).as_secs_f64();
             // The first samples count alike.
             let weight = WEIGHT.max(1.0 / (f64::from(self.samples) + 1.0));
@@ -45,6 +55,17 @@
         }
     }
 
+    /// Returns whether a sample was taken lately.
+    fn is_current(&self, now: Instant) -> bool {
+        let age = self.sampled_at.map(|at| now.saturating_duration_since(at));
+        age.is_some_and(|age| age < SAMPLE_LIFETIME)
+    }
+
+    /// Returns whether enough samples were taken lately.
+    fn is_reliable(&self, now: Instant) -> bool {
+        self.samples >= MIN_SAMPLES && self.is_current(now)
+    }
+
     fn set_busy(&mut self, now: Instant, is_busy: bool) {
         self.since = match is_busy {
             true => self.since.or(Some(now)),
@@ -52,12 +73,11 @@
         };
     }
 
-    /// Returns the time between two requests. The time since the last one counts once it is longer.
+    /// Returns the time between two requests. A queue that stands still is as slow as that.
     fn interval(&self, now: Instant) -> Option<Duration> {
         let standstill = self.since.map(|since| now.saturating_duration_since(since));
-        let excess = standstill.unwrap_or_default().as_secs_f64() - self.mean;
-        let mean = self.mean + excess.max(0.0) * WEIGHT;
-        (self.samples > 0).then(|| Duration::from_secs_f64(mean))
+        let mean = (self.samples > 0).then(|| Duration::from_secs_f64(self.mean));
+        mean.map(|mean| mean.max(standstill.unwrap_or_default()))
     }
 }
 
@@ -94,7 +114,7 @@
     /// Before that is known, the rate of the whole queue is used.
     pub fn estimate(&self, now: Instant, priority: u8, ahead: Ahead) -> Option<Estimate> {
         let level = self.levels.get(&priority);
-        let level = level.filter(|it| it.samples >= MIN_SAMPLES);
+        let level = level.filter(|it| it.is_reliable(now));
         let (pace, count) = match level {
             Some(level) => (level, ahead.own),
             None => (&self.all, ahead.all),
@@ -103,7 +123,7 @@
         Some(Estimate {
             wait: interval.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX)),
             interval,
-            is_reliable: pace.samples >= MIN_SAMPLES,
+            is_reliable: pace.is_reliable(now),
         })
     }
 }
--- a/src/gateway/admit/queue.rs
+++ b/src/gateway/admit/queue.rs
@@ -24,8 +24,6 @@
     pub priority: u8,
     /// Its workspace.
     pub workspace: ident::Workspace,
-    /// Weight of the workspace among those of the priority.
-    pub weight: u32,
     /// When its response is due.
     pub due: Instant,
     /// Identifies the request to its owner.
@@ -44,11 +42,6 @@
     pub fn priority(&self) -> u8 {
         self.priority
     }
-
-    /// Returns the workspace of the request.
-    pub fn workspace(&self) -> &ident::Workspace {
-        self.position.workspace()
-    }
 }
 
 /// Requests that wait for one service.
@@ -90,14 +83,6 @@
         levels.map(|(priority, level)| (*priority, level.queue.len()))
     }
 
-    /// Returns each priority and workspace with queued requests, and their number.
-    pub fn workspaces(&self) -> impl Iterator<Item = (u8, &ident::Workspace, usize)> {
-        self.levels.iter().flat_map(|(priority, level)| {
-            let lengths = level.queue.lengths();
-            lengths.map(|(workspace, length)| (*priority, workspace, length))
-        })
-    }
-
     /// Checks whether a request may be queued.
     pub fn check_room(&self, priority: u8, workspace: &ident::Workspace) -> Result<(), fair::Full> {
         let level = self.levels.get(&priority);
@@ -121,7 +106,7 @@
         };
         Position {
             priority: entry.priority,
-            position: level.queue.push_due(entry.due, entry.weight, item),
+            position: level.queue.push_due(entry.due, 1, item),
         }
     }
 
@@ -176,9 +161,9 @@
 
     /// Returns an upper bound on the requests that are served up to and including a new one, if
     /// no more arrive: in all priorities that are at least as urgent, and in its own.
-    pub fn serves_until(&self, priority: u8, workspace: &ident::Workspace, weight: u32) -> Ahead {
+    pub fn serves_until(&self, priority: u8, workspace: &ident::Workspace) -> Ahead {
         let level = self.levels.get(&priority);
-        let own = level.map_or(1, |level| level.queue.dequeues_until(workspace, weight));
+        let own = level.map_or(1, |level| level.queue.dequeues_until(workspace, 1));
         self.ahead(priority, own)
     }
 
--- a/src/gateway/admit/turn.rs
+++ b/src/gateway/admit/turn.rs
@@ -4,12 +4,8 @@
 //! change capacity too. A pass begins with it. A request that finds an upstream leaves, and the
 //! next one has its turn; one that finds none lets the next few try, as the choice may depend on
 //! the request.
-//!
-//! A pass may be held for a moment, to yield to requests at other hosts. Passes held for nothing,
-//! since capacity was still there after it, are limited to a fraction of the time.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -28,18 +24,6 @@
 /// Number of requests that find no upstream before a pass ends.
 const MAX_TRIES: u32 = 12;
 
-/// How long a pass is held to yield to requests at other hosts. Each of them looks several times
-/// in this time. With 40 ms, 3 % of the requests of other workspaces were refused in the simulated
-/// surge at 295 hosts, with 80 ms none.
-pub const YIELD: Duration = Duration::from_millis(80);
-
-/// Maximum share of the time for which a slot is expected to be idle as passes are held for
-/// nothing.
-const YIELD_SHARE: f64 = 0.05;
-
-/// Maximum such time in a row.
-const YIELD_BURST: Duration = Duration::from_millis(200);
-
 /// A waiting request.
 #[derive(Clone, Debug)]
 pub struct Waiter {
@@ -82,12 +66,6 @@
     tries: u32,
     /// Whether capacity changed during the pass.
     has_changed: bool,
-    /// Until when passes are held, or were held last.
-    hold_until: Option<Instant>,
-    /// The cost of the hold if it turns out that it was for nothing, until a request has looked.
-    held: Option<Duration>,
-    /// Such time that is left, when it was last known.
-    allowance: Option<(Instant, Duration)>,
 }
 
 impl Line {
@@ -103,9 +81,6 @@
         self.general += usize::from(!entry.ticket.is_specific);
         let position = self.queue.push(entry);
         let is_first = self.queue.next(|_| true).as_ref() == Some(&position);
-        if is_first {
-            self.hold_until = None;
-        }
         if is_first || is_behind_specific {
             self.look(now);
         }
@@ -128,9 +103,6 @@
             self.has_changed = true;
             return;
         }
-        if self.held_until(now).is_some() {
-            return;
-        }
         self.has_changed = false;
         self.pass += 1;
         self.failures = 0;
@@ -138,46 +110,10 @@
         self.advance(now);
     }
 
-    /// Returns until when passes are held, if they are.
-    pub fn held_until(&self, now: Instant) -> Option<Instant> {
-        self.hold_until.filter(|until| *until > now)
-    }
-
-    /// Returns the request that has its turn and may yield: no request has failed to find an
-    /// upstream in this pass, nor has the pass been held.
-    pub fn may_yield(&self, now: Instant) -> Option<&Position> {
-        let holder = self.holder.as_ref()?;
-        let is_settled = self.held.is_some() || self.tries > 0 || self.allowance(now).is_zero();
-        (!is_settled).then_some(holder)
-    }
-
-    /// Takes the turn back, and holds passes for a moment, as requests wait in a number of `queues`
-    /// at other hosts. The more there are, the sooner one of them takes a slot that is free.
-    pub fn hold(&mut self, now: Instant, queues: u64) {
-        self.holder = None;
-        self.has_changed = false;
-        self.hold_until = Some(now + YIELD);
-        self.held = Some(YIELD.div_f64(queues as f64 + 1.0));
-        // The first request sees for how long.
-        self.watcher = None;
-        self.settle(now);
-    }
-
-    fn allowance(&self, now: Instant) -> Duration {
-        self.allowance.map_or(YIELD_BURST, |(at, allowance)| {
-            let since = now.saturating_duration_since(at);
-            YIELD_BURST.min(allowance + since.mul_f64(YIELD_SHARE))
-        })
-    }
-
     /// Removes a request that has found an upstream, and gives the next one its turn.
     pub fn grant(&mut self, now: Instant, position: &Position) {
         if let Some(waiter) = self.queue.take(position) {
             self.drain.record(now, position.priority());
-            if let Some(cost) = self.held.take() {
-                let allowance = self.allowance(now).saturating_sub(cost);
-                self.allowance = Some((now, allowance));
-            }
             self.leave(now, position, &waiter);
         }
     }
@@ -193,7 +129,6 @@
             self.failures += u32::from(!waiter.is_specific);
         }
         self.tries += 1;
-        self.held = None;
         self.advance(now);
         self.settle(now);
     }
@@ -211,9 +146,8 @@
         now: Instant,
         priority: u8,
         workspace: &ident::Workspace,
-        weight: u32,
     ) -> Option<Estimate> {
-        let ahead = self.queue.serves_until(priority, workspace, weight);
+        let ahead = self.queue.serves_until(priority, workspace);
         self.drain.estimate(now, priority, ahead)
     }
 
@@ -228,10 +162,6 @@
         if self.holder.as_ref() == Some(position) {
             self.advance(now);
         }
-        if self.queue.is_empty() {
-            self.hold_until = None;
-            self.held = None;
-        }
         self.settle(now);
     }
 
--- a/src/gateway/admit/wait.rs
+++ b/src/gateway/admit/wait.rs
@@ -14,13 +14,9 @@
 use crate::gateway::admit::queue::Position;
 use crate::gateway::admit::retry::Places;
 use crate::gateway::admit::retry::Schedule;
-use crate::gateway::admit::share;
-use crate::gateway::admit::share::Demand;
-use crate::gateway::admit::share::Key;
 use crate::gateway::admit::turn::Line;
 use crate::gateway::admit::turn::Role;
 use crate::gateway::admit::turn::Waiter;
-use crate::gateway::load::Source;
 use crate::ident;
 use crate::lock::lock;
 use crate::policy::fair;
@@ -29,7 +25,7 @@
 /// requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Maximum number of requests that wait at a host.
+/// Maximum number of requests that wait at a host. One more of a workspace without any may wait.
 const MAX_REQUESTS: usize = 1_024;
 
 /// Maximum size of their bodies.
@@ -85,67 +81,22 @@
     lines: BTreeMap<ident::Service, Line>,
     schedules: BTreeMap<ident::Service, Schedule>,
     places: Places,
-    share: share::Table,
     requests: usize,
     bytes: usize,
-    /// Number of passes that were held for requests at other hosts.
-    yields: u64,
 }
 
 /// Number of requests that wait for a service with a priority.
 pub type Length = (ident::Service, u8, usize);
 
 impl Queues {
-    /// Returns whether a new request may look for an upstream at once: no other one waits for the
-    /// service, and it need not yield to those at other hosts.
-    pub fn is_free(
-        &self,
-        now: Instant,
-        service: &ident::Service,
-        priority: u8,
-        workspace: &ident::Workspace,
-    ) -> bool {
-        let mut inner = lock(&self.inner);
-        let line = inner.lines.get(service);
-        let is_empty = inner.requests == 0 || line.is_none_or(|it| it.queue().is_empty());
-        is_empty && {
-            let key = Key::new(service, priority, workspace);
-            inner.share.yields(now, key) == 0
-        }
-    }
-
-    /// Records that a request was sent without waiting.
-    pub fn record_sent(
-        &self,
-        now: Instant,
-        service: &ident::Service,
-        priority: u8,
-        workspace: &ident::Workspace,
-    ) {
-        let key = Key::new(service, priority, workspace);
-        lock(&self.inner).share.record(now, key);
-    }
-
-    /// Returns what this host reports to others, the largest demands only.
-    pub fn demands(&self, now: Instant) -> Vec<Demand> {
-        lock(&self.inner).demands(now, share::MAX_DEMANDS)
-    }
-
-    /// Returns the demands of this host's zone.
-    pub fn zone_demands(&self, now: Instant) -> Vec<Demand> {
-        let mut inner = lock(&self.inner);
-        let own = inner.demands(now, usize::MAX);
-        inner.share.zone_demands(now, own)
-    }
-
-    /// Merges what another host, or a zone, reports. It replaces its report before.
-    pub fn merge(&self, now: Instant, source: Source, demands: Vec<Demand>) {
-        lock(&self.inner).share.merge(now, source, demands);
-    }
-
-    /// Returns how often requests yielded to those at other hosts.
-    pub fn yields(&self) -> u64 {
-        lock(&self.inner).yields
+    /// Returns whether no request waits for a service, so that a new one overtakes none.
+    pub fn is_idle(&self, service: &ident::Service) -> bool {
+        let inner = lock(&self.inner);
+        inner.requests == 0
+            || inner
+                .lines
+                .get(service)
+                .is_none_or(|line| line.queue().is_empty())
     }
 
     /// Returns the number of waiting requests by service and priority.
@@ -165,7 +116,6 @@
         let Inner {
             lines,
             places,
-            share,
             requests,
             bytes,
             ..
@@ -186,21 +136,17 @@
         if *requests >= MAX_REQUESTS || *requests > 0 && *bytes + request.bytes > MAX_BYTES {
             return Err(Reason::Full);
         }
-        let key = Key::new(&request.service, request.priority, &request.workspace);
-        let weight = share.weight(now, key);
-        let expected = line.expected(now, request.priority, &request.workspace, weight);
+        let expected = line.expected(now, request.priority, &request.workspace);
         if expected.is_some_and(|it| it.is_reliable && now + it.wait > request.deadline) {
             return Err(Reason::TooLate);
         }
         let due = places.take(now, request.fingerprint).unwrap_or(request.due);
-        share.record_wait(now, key);
         *requests += 1;
         *bytes += request.bytes;
         let wake = Arc::new(Notify::new());
         let entry = Entry {
             priority: request.priority,
             workspace: request.workspace.clone(),
-            weight,
             due,
             ticket: Waiter {
                 wake: wake.clone(),
@@ -211,7 +157,6 @@
             },
         };
         let position = line.push(now, entry);
-        inner.yield_turn(now, &request.service);
         drop(inner);
         Ok(Ticket {
             queues: Arc::clone(self),
@@ -226,11 +171,9 @@
     /// keeps its place. `draw` is uniform in `0..1`.
     pub fn refuse(&self, now: Instant, request: &Request, draw: f64) -> Duration {
         let mut inner = lock(&self.inner);
-        let key = Key::new(&request.service, request.priority, &request.workspace);
-        let weight = inner.share.weight(now, key);
         let line = inner.lines.get(&request.service);
         let expected =
-            line.and_then(|line| line.expected(now, request.priority, &request.workspace, weight));
+            line.and_then(|line| line.expected(now, request.priority, &request.workspace));
         let left = request.deadline.saturating_duration_since(now);
         let schedule = inner.schedules.entry(request.service.clone()).or_default();
         let retry_after = schedule.book(now, expected, left, draw);
@@ -241,16 +184,6 @@
         retry_after
     }
 
-    /// Begins a pass, as capacity may have changed.
-    fn look(&self, service: &ident::Service) {
-        let now = Instant::now();
-        let mut inner = lock(&self.inner);
-        if let Some(line) = inner.lines.get_mut(service) {
-            line.look(now);
-            inner.yield_turn(now, service);
-        }
-    }
-
     fn with_line<T>(
         &self,
         service: &ident::Service,
@@ -282,13 +215,12 @@
     pub async fn turn(&mut self, changed: &Notify, limit: Instant) -> bool {
         loop {
             let change = changed.notified();
+            let line = |change: &mut dyn FnMut(&mut Line)| {
+                self.queues.with_line(&self.service, change);
+            };
+            let mut role = Role::Wait;
+            line(&mut |line| role = line.role(&self.position));
             let now = Instant::now();
-            let (role, held_until) = self
-                .queues
-                .with_line(&self.service, |line| {
-                    (line.role(&self.position), line.held_until(now))
-                })
-                .unwrap_or((Role::Wait, None));
             match role {
                 Role::Turn => return true,
                 _ if now >= limit => return false,
@@ -297,10 +229,12 @@
                     let _woken = timeout_at(limit, self.wake.notified()).await;
                 }
                 Role::Watch => {
-                    let next_look = held_until.unwrap_or(now + POLL_INTERVAL).min(limit);
+                    let next_look = limit.min(now + POLL_INTERVAL);
                     tokio::select! {
                         () = self.wake.notified() => {}
-                        _ = timeout_at(next_look, change) => self.queues.look(&self.service),
+                        _ = timeout_at(next_look, change) => {
+                            line(&mut |line| line.look(Instant::now()));
+                        }
                     }
                 }
             }
@@ -311,10 +245,6 @@
     pub fn grant(self, now: Instant) {
         let mut inner = lock(&self.queues.inner);
         inner.leave(&self, |line| line.grant(now, &self.position));
-        let (priority, workspace) = (self.position.priority(), self.position.workspace());
-        let key = Key::new(&self.service, priority, workspace);
-        inner.share.record(now, key);
-        inner.yield_turn(now, &self.service);
     }
 
     /// Ends the request's turn: it can't get an upstream now, nor before `not_before`.
@@ -332,35 +262,6 @@
 }
 
 impl Inner {
-    /// Returns the demands of waiting requests, and what was sent lately.
-    fn demands(&mut self, now: Instant, limit: usize) -> Vec<Demand> {
-        let lines = self.lines.iter().flat_map(|(service, line)| {
-            let workspaces = line.queue().workspaces();
-            workspaces.map(move |(priority, workspace, length)| {
-                Demand::waiting(Key::new(service, priority, workspace), length)
-            })
-        });
-        let waiting = lines.collect();
-        self.share.demands(now, waiting, limit)
-    }
-
-    /// Holds the pass of a service if the request that has its turn is to yield to those at other
-    /// hosts.
-    fn yield_turn(&mut self, now: Instant, service: &ident::Service) {
-        let Some(line) = self.lines.get_mut(service) else {
-            return;
-        };
-        let Some(position) = line.may_yield(now) else {
-            return;
-        };
-        let key = Key::new(service, position.priority(), position.workspace());
-        let queues = self.share.yields(now, key);
-        if queues > 0 {
-            line.hold(now, queues);
-            self.yields += 1;
-        }
-    }
-
     /// Lets a request leave its queue, if it is in it.
     fn leave(&mut self, ticket: &Ticket, change: impl FnOnce(&mut Line)) {
         let Some(line) = self.lines.get_mut(&ticket.service) else {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -567,27 +567,19 @@
 ) -> Result<Target, Refusal> {
     // The caller of a stream that continues already counts a gap.
     let is_specific = history.version.is_some();
-    let priority = job.priority();
-    let workspace = job.workspace.as_ref().map(|it| it.name.clone());
-    let workspace = workspace.unwrap_or_else(|| "".into());
-    let joined = Instant::now();
-    let is_free = state
-        .queues
-        .is_free(joined, &job.service, priority, &workspace);
-    if is_specific || is_free {
+    if is_specific || state.queues.is_idle(&job.service) {
         if let Look::Target(target) = look(state, job, history)? {
-            state
-                .queues
-                .record_sent(joined, &job.service, priority, &workspace);
             return Ok(target);
         }
     } else if let Some(host) = handoff::host(state, job, history) {
         return Ok(Target::Host(host));
     }
+    let joined = Instant::now();
+    let workspace = job.workspace.as_ref().map(|it| it.name.clone());
     let mut request = admit::wait::Request {
         service: job.service.clone(),
-        priority,
-        workspace,
+        priority: job.priority(),
+        workspace: workspace.unwrap_or_else(|| "".into()),
         fingerprint: job.fingerprint,
         due: job.arrived + job.route.objective,
         deadline: job.deadline,
@@ -759,6 +751,10 @@
     }
     let mut connection = connection.map_err(Loss::Unsent)?;
     let sent = Instant::now();
+    // The connection took up the rest of the time, or the host was suspended meanwhile.
+    if sent >= job.deadline {
+        return Err(Loss::Unsent(Fault::Unsent));
+    }
     let holder = lease.holder.as_ref().map(|it| it.upstream.address);
     let request = job.request(names, sent, &upstream.id, holder, last_event);
     history.begin(sent);
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -22,7 +22,6 @@
 use strum::VariantArray;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::gateway::admit::share::Demand;
 use crate::gateway::capacity::exchange;
 use crate::gateway::capacity::exchange::Reading;
 use crate::gateway::load;
@@ -266,18 +265,8 @@
     /// Encodes a message. Removes items until it fits a datagram, loads last, since they
     /// matter most.
     pub fn encode(&mut self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-        self.encode_with(&format::Extension::default())
-    }
-
-    /// Encodes a message, and appends an extension.
-    pub fn encode_with(
-        &mut self,
-        extension: &format::Extension,
-    ) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-        let appended = extension.encode()?;
         loop {
-            let mut bytes = encode(&Datagram::Message(self.clone()))?;
-            bytes.extend(&appended);
+            let bytes = encode(&Datagram::Message(self.clone()))?;
             if bytes.len() <= DATAGRAM_BYTES || !self.report.shorten(true)? {
                 return Ok(bytes);
             }
@@ -311,33 +300,18 @@
         load::Source::Zone(zone, self.shard.0, self.shard.1)
     }
 
-    /// Returns the source of what is appended to the first shard, which tells of the whole zone.
-    pub fn whole_zone(&self) -> load::Source {
-        let zone = xxh3_64(self.sender.zone.as_str().as_bytes());
-        load::Source::Zone(zone, 0, 1)
-    }
-
     /// Encodes a summary as shards that each fit a datagram. Removes items that don't fit the
     /// first one.
     ///
     /// The number of shards is a power of two, so that an upstream stays in the same
     /// shard unless the number of upstreams in use changes much.
     pub fn encode(&mut self) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
-        self.encode_with(&format::Extension::default())
-    }
-
-    /// Encodes a summary, and appends an extension to the first shard.
-    pub fn encode_with(
-        &mut self,
-        extension: &format::Extension,
-    ) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
-        let appended = extension.encode()?;
         let placements = std::mem::take(&mut self.report.placements);
         let shards = self.report.loads.len().div_ceil(UPSTREAMS_PER_SHARD);
         let mut shards = u32::try_from(shards.max(1).next_power_of_two()).unwrap_or(u32::MAX);
         let max_shards = u32::try_from(self.report.loads.len()).unwrap_or(u32::MAX);
         let mut datagrams = loop {
-            let (datagrams, report) = self.encode_loads(shards, &appended)?;
+            let (datagrams, report) = self.encode_loads(shards)?;
             let fits = datagrams.iter().all(|bytes| bytes.len() <= DATAGRAM_BYTES);
             // Upstreams with long names need more shards.
             match fits || shards > max_shards {
@@ -361,7 +335,6 @@
     fn encode_loads(
         &self,
         shards: u32,
-        appended: &[u8],
     ) -> Result<(Vec<Vec<u8>>, Report), rmp_serde::encode::Error> {
         let mut left = Report::default();
         let mut loads: BTreeMap<u64, Vec<_>> = BTreeMap::new();
@@ -389,8 +362,7 @@
                 sender: self.sender.clone(),
                 address: self.address,
             };
-            let appended = if shard == 0 { appended } else { &[] };
-            let bytes = summary.encode_shard(appended);
+            let bytes = summary.encode_shard();
             if shard == 0 {
                 left = Report {
                     loads: self.report.loads.clone(),
@@ -428,10 +400,9 @@
     }
 
     /// Encodes one shard. Removes items other than loads until it fits a datagram.
-    fn encode_shard(&mut self, appended: &[u8]) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    fn encode_shard(&mut self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
         loop {
-            let mut bytes = encode(&Datagram::Summary(self.clone()))?;
-            bytes.extend(appended);
+            let bytes = encode(&Datagram::Summary(self.clone()))?;
             if bytes.len() <= DATAGRAM_BYTES || !self.report.shorten(false)? {
                 return Ok(bytes);
             }
@@ -453,8 +424,6 @@
     /// Newest format that its sender reads. One that looks for hosts of any build sends older
     /// formats too.
     pub format: u8,
-    /// Requests that wait at its sender, or in the zone that it summarizes.
-    pub demands: Vec<Demand>,
     /// Slowdowns that upstreams stated to other hosts.
     pub readings: Vec<Reading>,
 }
@@ -481,7 +450,6 @@
     let newest = extension.newest.unwrap_or_default();
     Ok(Received {
         datagram,
-        demands: extension.demands,
         format: newest.clamp(*version, VERSION),
         readings: exchange::decode(&extension.capacity),
     })
--- a/src/gateway/datagram/format.rs
+++ b/src/gateway/datagram/format.rs
@@ -15,7 +15,6 @@
 use super::DATAGRAM_BYTES;
 use super::Fault;
 use super::VERSION;
-use crate::gateway::admit::share::Demand;
 use crate::gateway::capacity::exchange;
 use crate::gateway::capacity::exchange::Reading;
 
@@ -121,23 +120,12 @@
     /// Newest format that the sender reads, in a datagram of an older one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub newest: Option<u8>,
-    /// Requests that wait at the sender, or in its zone.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub demands: Vec<Demand>,
     /// Slowdowns that upstreams stated, as [`exchange`] encodes them.
     #[serde(default, skip_serializing_if = "Vec::is_empty", with = "serde_bytes")]
     pub capacity: Vec<u8>,
 }
 
 impl Extension {
-    /// Returns what is appended to a datagram: a map of what there is to say, or nothing.
-    pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-        match *self == Self::default() {
-            true => Ok(Vec::new()),
-            false => rmp_serde::to_vec_named(self),
-        }
-    }
-
     /// Reads what follows the first value of a datagram.
     pub fn read(bytes: &[u8]) -> Result<Self, Fault> {
         if bytes.is_empty() {
@@ -148,23 +136,18 @@
         Ok(Self::deserialize(&mut deserializer)?)
     }
 
-    /// Adds readings to this extension at the end of a datagram of the newest format, the youngest
+    /// Appends readings to a datagram of the newest format that has no extension yet, the youngest
     /// first and as many as fit. Returns how many had no room.
-    pub fn append_readings(
-        &self,
-        bytes: &mut Vec<u8>,
-        readings: &[Reading],
-    ) -> Result<usize, Fault> {
+    pub fn append_readings(bytes: &mut Vec<u8>, readings: &[Reading]) -> Result<usize, Fault> {
         let room = DATAGRAM_BYTES.saturating_sub(bytes.len() + CAPACITY_OVERHEAD);
         let count = readings.len().min(room / exchange::BYTES);
         let (sent, left_out) = readings.split_at(count);
         if !sent.is_empty() {
             let extension = Self {
+                newest: None,
                 capacity: exchange::encode(sent),
-                ..self.clone()
             };
-            bytes.truncate(bytes.len().saturating_sub(self.encode()?.len()));
-            bytes.extend(extension.encode()?);
+            bytes.extend(rmp_serde::to_vec_named(&extension)?);
         }
         Ok(left_out.len())
     }
@@ -320,6 +303,6 @@
         newest: Some(VERSION),
         ..Extension::default()
     };
-    bytes.extend(extension.encode()?);
+    bytes.extend(rmp_serde::to_vec_named(&extension)?);
     Ok(bytes)
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -268,14 +268,10 @@
 /// Encodes a message, and records what it reports.
 fn encode(state: &State, now: Instant, message: &mut Message) -> Option<Vec<u8>> {
     let full = lengths(&message.report);
-    let extension = Extension {
-        demands: state.queues.demands(now),
-        ..Extension::default()
-    };
-    match message.encode_with(&extension) {
+    match message.encode() {
         Ok(mut bytes) => {
             record_reported(state, now, &full, &message.report);
-            append_readings(state, now, &mut bytes, &extension, false);
+            append_readings(state, now, &mut bytes, false);
             Some(bytes)
         }
         Err(error) => {
@@ -287,15 +283,9 @@
 
 /// Appends the slowdowns that upstreams stated to this host, or in a summary to any, as far as they
 /// fit.
-fn append_readings(
-    state: &State,
-    now: Instant,
-    bytes: &mut Vec<u8>,
-    extension: &Extension,
-    is_summary: bool,
-) {
+fn append_readings(state: &State, now: Instant, bytes: &mut Vec<u8>, is_summary: bool) {
     let readings = lock(&state.capacity).readings(now, is_summary);
-    match extension.append_readings(bytes, &readings) {
+    match Extension::append_readings(bytes, &readings) {
         Ok(0) => {}
         Ok(left_out) => state.meter.left_out("capacity", left_out),
         Err(error) => warn!(%error, "peers: can't append to a message"),
@@ -426,21 +416,11 @@
         placements: Vec::new(),
         ..summary.report.clone()
     });
-    let extension = Extension {
-        demands: state.queues.zone_demands(now),
-        ..Extension::default()
-    };
-    match summary.encode_with(&extension) {
+    match summary.encode() {
         Ok(mut datagrams) => {
             record_reported(state, now, &full, &summary.report);
-            let shortest = datagrams.iter_mut().enumerate();
-            if let Some((index, bytes)) = shortest.min_by_key(|(_, it)| it.len()) {
-                // The first datagram of a summary has the extension.
-                let extension = match index {
-                    0 => extension,
-                    _ => Extension::default(),
-                };
-                append_readings(state, now, bytes, &extension, true);
+            if let Some(shortest) = datagrams.iter_mut().min_by_key(|it| it.len()) {
+                append_readings(state, now, shortest, true);
             }
             datagrams
         }
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -37,7 +37,6 @@
     let Received {
         datagram,
         format,
-        demands,
         readings,
     } = match datagram::decode(bytes) {
         Ok(received) => received,
@@ -77,10 +76,6 @@
                 sender: &message.sender,
             };
             merge(state, from, source, message.report);
-            // Summaries contain those of hosts of other zones.
-            if matches!(source, load::Source::Host(_)) {
-                state.queues.merge(Instant::now(), source, demands);
-            }
             false
         }
         Datagram::Origins(origins) => {
@@ -102,13 +97,7 @@
                 format,
                 sender: &summary.sender,
             };
-            let (shard, shards) = summary.shard;
-            let zone = summary.whole_zone();
             merge(state, from, source, summary.report);
-            // Only the first shard tells of them.
-            if shard == 0 && shards > 0 {
-                state.queues.merge(Instant::now(), zone, demands);
-            }
             is_direct
         }
     }
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -227,6 +227,10 @@
     let connection = state.pool.acquire(address, is_fresh).await;
     let mut connection = connection.map_err(Loss::Unsent)?;
     let sent = Instant::now();
+    // The connection took up the rest of the time, or the host was suspended meanwhile.
+    if sent >= job.deadline {
+        return Err(Loss::Unsent(Fault::Unsent));
+    }
     let handoff = Handoff {
         runs: history.runs,
         version: history.version.clone(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -83,7 +83,6 @@
     queue_seconds: Histograms,
     queue_refused: Family<ByCode, Counter>,
     queue_length: Family<ByQueue, Gauge>,
-    queue_yields: Counter,
     refused: Family<ByCode, Counter>,
     lost: Family<ByCode, Counter>,
     resumed: Family<ByEvidence, Counter>,
@@ -164,7 +163,6 @@
             queue_seconds: histograms(),
             queue_refused: Family::default(),
             queue_length: Family::default(),
-            queue_yields: Counter::default(),
             refused: Family::default(),
             lost: Family::default(),
             resumed: Family::default(),
@@ -224,11 +222,6 @@
             "Requests that wait for an upstream, by service and priority",
             it.queue_length.clone(),
         );
-        registry.register(
-            "queue_yields",
-            "Times that waiting requests yielded to those at other hosts",
-            it.queue_yields.clone(),
-        );
         registry.register("refused", "Requests refused", it.refused.clone());
         registry.register(
             "lost",
@@ -381,10 +374,8 @@
             .inc();
     }
 
-    /// Sets the number of waiting requests by service and priority, and how often they yielded.
-    pub fn set_queues(&self, lengths: &[wait::Length], yields: u64) {
-        self.queue_yields
-            .inc_by(yields.saturating_sub(self.queue_yields.get()));
+    /// Sets the number of waiting requests by service and priority.
+    pub fn set_queue_lengths(&self, lengths: &[wait::Length]) {
         self.queue_length.clear();
         for (service, priority, length) in lengths {
             let label = ByQueue {
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -180,8 +180,7 @@
 
 fn gauges(state: &State) -> Gauges {
     let now = Instant::now();
-    let queues = &state.queues;
-    state.meter.set_queues(&queues.lengths(), queues.yields());
+    state.meter.set_queue_lengths(&state.queues.lengths());
     let view = state.view();
     Gauges {
         upstreams: view.upstreams(),
--- a/src/policy/fair.rs
+++ b/src/policy/fair.rs
@@ -88,13 +88,6 @@
     waiting: BTreeMap<(Instant, u64), Item<T>>,
 }
 
-impl Position {
-    /// Returns the workspace of the request.
-    pub fn workspace(&self) -> &ident::Workspace {
-        &self.workspace
-    }
-}
-
 impl<T> Queue<T> {
     /// Creates an empty queue.
     pub fn new(limits: Limits) -> Self {
@@ -232,7 +225,7 @@
         Some(item)
     }
 
-    /// Returns each workspace with queued requests, and their number.
+    /// Returns the number of queued requests of each workspace that has any.
     pub fn lengths(&self) -> impl Iterator<Item = (&ident::Workspace, usize)> {
         let lanes = self.lanes.iter();
         let lanes = lanes.map(|(workspace, lane)| (workspace, lane.waiting.len()));
--- a/tests/gateway_admit/main.rs
+++ b/tests/gateway_admit.rs
@@ -1,21 +1,16 @@
-//! The order in which the waiting requests of a host, and of a fleet, get an upstream.
+//! The order in which a host's waiting requests get an upstream.
 
-#![expect(
-    clippy::indexing_slicing,
-    clippy::unwrap_used,
-    reason = "a test may panic"
-)]
-
-mod fleet;
-mod simulation;
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use masticmoor::gateway::admit::Estimate;
 use masticmoor::gateway::admit::Queues;
+use masticmoor::gateway::admit::estimate::Drain;
+use masticmoor::gateway::admit::queue::Ahead;
 use masticmoor::gateway::admit::queue::Entry;
 use masticmoor::gateway::admit::queue::MAX_PASSED_OVER;
 use masticmoor::gateway::admit::queue::Position;
@@ -33,44 +28,139 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::simulation::Fleet;
-use crate::simulation::OBJECTIVE;
-use crate::simulation::request;
+const OBJECTIVE: Duration = Duration::from_millis(600);
+
+fn request(now: Instant, workspace: usize, priority: u8, fingerprint: u64) -> Request {
+    Request {
+        service: "s1".into(),
+        priority,
+        workspace: format!("w{workspace}").as_str().into(),
+        fingerprint,
+        due: now + OBJECTIVE,
+        deadline: now + Duration::from_secs(10),
+        bytes: 1_000,
+        is_specific: false,
+    }
+}
+
+/// Upstreams with some slots together, and what became of requests by workspace.
+#[derive(Default)]
+struct Pool {
+    queues: Arc<Queues>,
+    free: Mutex<usize>,
+    changed: Notify,
+    /// Time that a request takes.
+    takes: Mutex<Duration>,
+    sent: Mutex<BTreeMap<usize, usize>>,
+    served: Mutex<BTreeMap<usize, usize>>,
+    refused: Mutex<BTreeMap<usize, usize>>,
+    waits: Mutex<Vec<Duration>>,
+}
+
+impl Pool {
+    fn new(slots: usize, takes: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            free: Mutex::new(slots),
+            takes: Mutex::new(takes),
+            ..Self::default()
+        })
+    }
+
+    fn take(&self) -> bool {
+        let mut free = self.free.lock().unwrap();
+        let is_free = *free > 0;
+        *free -= usize::from(is_free);
+        is_free
+    }
+
+    /// Serves a request as the gateway does, and returns whether it was.
+    async fn serve(self: Arc<Self>, workspace: usize, priority: u8) -> bool {
+        let joined = Instant::now();
+        *self.sent.lock().unwrap().entry(workspace).or_default() += 1;
+        if !(self.queues.is_idle(&"s1".into()) && self.take()) {
+            let request = request(joined, workspace, priority, 0);
+            let limit = joined + OBJECTIVE / 2;
+            let Ok(mut ticket) = self.queues.join(joined, request) else {
+                *self.refused.lock().unwrap().entry(workspace).or_default() += 1;
+                return false;
+            };
+            loop {
+                if !ticket.turn(&self.changed, limit).await {
+                    *self.refused.lock().unwrap().entry(workspace).or_default() += 1;
+                    return false;
+                }
+                let now = Instant::now();
+                if self.take() {
+                    ticket.grant(now);
+                    break;
+                }
+                ticket.fail(now, now);
+            }
+        }
+        self.waits.lock().unwrap().push(joined.elapsed());
+        let takes = *self.takes.lock().unwrap();
+        sleep(takes).await;
+        *self.free.lock().unwrap() += 1;
+        self.changed.notify_waiters();
+        *self.served.lock().unwrap().entry(workspace).or_default() += 1;
+        true
+    }
+
+    /// Sends requests of a workspace at a rate for a time.
+    fn send(self: &Arc<Self>, workspace: usize, priority: u8, per_second: f64, time: Duration) {
+        let pool = self.clone();
+        tokio::spawn(async move {
+            let end = Instant::now() + time;
+            while Instant::now() < end {
+                tokio::spawn(pool.clone().serve(workspace, priority));
+                sleep(Duration::from_secs_f64(1.0 / per_second)).await;
+            }
+        });
+    }
+
+    fn served(&self, workspace: usize) -> usize {
+        let served = self.served.lock().unwrap();
+        served.get(&workspace).copied().unwrap_or_default()
+    }
+}
 
 /// A workspace that sends ten times as much must not take the service of the others.
 #[tokio::test(start_paused = true)]
 async fn a_surge_of_one_workspace_costs_the_others_nothing() {
-    let fleet = Fleet::new(1, 8, Duration::from_millis(50));
+    let pool = Pool::new(8, Duration::from_millis(50));
     let time = Duration::from_secs(6);
     for workspace in 1..5 {
-        fleet.send(0, workspace, 0, 30.0, time);
+        pool.send(workspace, 0, 30.0, time);
     }
-    fleet.send(0, 0, 0, 300.0, time);
+    pool.send(0, 0, 300.0, time);
     sleep(time + Duration::from_secs(1)).await;
     for workspace in 1..5 {
-        let (sent, served) = (fleet.sent(|it| it.1 == workspace), fleet.served(workspace));
+        let (sent, served) = (
+            pool.sent.lock().unwrap()[&workspace],
+            pool.served(workspace),
+        );
         assert!(
             sent > 170 && served == sent,
             "workspace {workspace}: {served} of {sent}"
         );
     }
     // 8 slots serve 160 per second for 6 s, and until the last ones have waited.
-    let total: usize = (0..5).map(|it| fleet.served(it)).sum();
+    let total: usize = (0..5).map(|it| pool.served(it)).sum();
     assert!((940..=1_016).contains(&total), "{total} served");
 }
 
 /// Urgent requests are served at any load, and the others are not starved.
 #[tokio::test(start_paused = true)]
 async fn less_urgent_requests_are_served_at_their_least_rate() {
-    let fleet = Fleet::new(1, 8, Duration::from_millis(50));
+    let pool = Pool::new(8, Duration::from_millis(50));
     let time = Duration::from_secs(6);
-    fleet.send(0, 1, 0, 200.0, time);
-    fleet.send(0, 2, 3, 100.0, time);
+    pool.send(1, 0, 200.0, time);
+    pool.send(2, 3, 100.0, time);
     sleep(time + Duration::from_secs(1)).await;
-    let total = fleet.served(1) + fleet.served(2);
+    let total = pool.served(1) + pool.served(2);
     assert!(total >= 950, "{total} of 960: slots were idle");
     let least = total / (usize::try_from(MAX_PASSED_OVER).unwrap() + 1);
-    let less_urgent = fleet.served(2);
+    let less_urgent = pool.served(2);
     assert!(
         (least - 5..least + 25).contains(&less_urgent),
         "{less_urgent}"
@@ -81,18 +171,18 @@
 /// that was not done in it.
 #[tokio::test(start_paused = true)]
 async fn a_short_slowness_of_all_slots_is_outlasted() {
-    let fleet = Fleet::new(1, 16, Duration::from_millis(100));
-    fleet.send(0, 1, 0, 120.0, Duration::from_secs(4));
+    let pool = Pool::new(16, Duration::from_millis(100));
+    pool.send(1, 0, 120.0, Duration::from_secs(4));
     sleep(Duration::from_secs(1)).await;
-    *fleet.takes.lock().unwrap() = Duration::from_millis(250);
+    *pool.takes.lock().unwrap() = Duration::from_millis(250);
     sleep(Duration::from_millis(600)).await;
-    *fleet.takes.lock().unwrap() = Duration::from_millis(100);
+    *pool.takes.lock().unwrap() = Duration::from_millis(100);
     sleep(Duration::from_millis(1_400)).await;
-    let before = fleet.waits.lock().unwrap().len();
+    let before = pool.waits.lock().unwrap().len();
     sleep(Duration::from_secs(2)).await;
-    let refused = fleet.refused.load(Ordering::Relaxed);
-    assert!(refused <= 10, "{refused} refused");
-    let waits = fleet.waits.lock().unwrap();
+    let refused = pool.refused.lock().unwrap().get(&1).copied();
+    assert!(refused.unwrap_or_default() <= 10, "{refused:?} refused");
+    let waits = pool.waits.lock().unwrap();
     let late = waits[before..].iter().filter(|it| **it > Duration::ZERO);
     assert_eq!(late.count(), 0, "a queue was left behind");
 }
@@ -110,7 +200,7 @@
     assert!(second.turn(&changed, limit).await);
     assert_eq!(now.elapsed(), Duration::ZERO);
     drop(second);
-    assert!(queues.is_free(now, &"s1".into(), 0, &"w1".into()));
+    assert!(queues.is_idle(&"s1".into()));
 }
 
 /// A caller that returns as it was told keeps its place among those of its workspace; one that
@@ -190,7 +280,6 @@
     Fail(u64),
     Leave(usize),
     Advance(u64),
-    Hold,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -198,7 +287,6 @@
         (0..4_u8, 0..5_usize, any::<bool>()).prop_map(|(p, w, s)| Step::Join(p, w, s)),
         Just(Step::Look),
         Just(Step::Grant),
-        Just(Step::Hold),
         (0..60_u64).prop_map(Step::Fail),
         (0..40_usize).prop_map(Step::Leave),
         (1..50_u64).prop_map(Step::Advance),
@@ -234,7 +322,7 @@
                     };
                     let workspace = format!("w{workspace}").as_str().into();
                     let due = now + OBJECTIVE;
-                    waiting.push(line.push(now, Entry { priority, workspace, weight: 1, due, ticket }));
+                    waiting.push(line.push(now, Entry { priority, workspace, due, ticket }));
                 }
                 Step::Look => line.look(now),
                 Step::Grant => if let Some(index) = holder(&line, &waiting) {
@@ -248,9 +336,6 @@
                     prop_assert!(line.remove(now, &position).is_some());
                     prop_assert!(line.remove(now, &position).is_none());
                 },
-                Step::Hold => if line.may_yield(now).is_some() {
-                    line.hold(now, 1);
-                },
                 Step::Advance(time) => now += Duration::from_millis(time),
             }
             prop_assert_eq!(line.queue().len(), waiting.len());
@@ -284,7 +369,6 @@
         let entry = |(priority, workspace): (u8, usize)| Entry {
             priority,
             workspace: format!("w{workspace}").as_str().into(),
-            weight: 1,
             due: now + OBJECTIVE,
             ticket: (priority, workspace),
         };
@@ -313,3 +397,24 @@
         }
     }
 }
+
+/// After an overload nothing of a low priority is queued, so its rate isn't measured any more. A
+/// rate from the overload would refuse every request of that priority that has to queue.
+#[tokio::test(start_paused = true)]
+async fn a_rate_from_an_overload_that_is_over_is_not_relied_on() {
+    let mut drain = Drain::default();
+    let ahead = Ahead { all: 1, own: 1 };
+    for _ in 0..10 {
+        drain.set_busy(Instant::now(), std::iter::once(2));
+        sleep(Duration::from_secs(1)).await;
+        drain.record(Instant::now(), 2);
+    }
+    drain.set_busy(Instant::now(), std::iter::empty());
+    let reliable = |drain: &Drain| {
+        let estimate = drain.estimate(Instant::now(), 2, ahead);
+        estimate.is_some_and(|it| it.is_reliable)
+    };
+    assert!(reliable(&drain), "measured just now");
+    sleep(Duration::from_secs(3)).await;
+    assert!(!reliable(&drain), "measured 3 s ago");
+}
--- a/tests/gateway_capacity.rs
+++ b/tests/gateway_capacity.rs
@@ -252,21 +252,14 @@
     let mut bytes = Origins::default().encode().unwrap().remove(0);
     let length = bytes.len();
     assert_eq!(
-        Extension::default()
-            .append_readings(&mut bytes, &readings)
-            .unwrap(),
+        Extension::append_readings(&mut bytes, &readings).unwrap(),
         0
     );
     assert_eq!(bytes.len(), length + 20);
     assert_eq!(datagram::decode(&bytes).unwrap().readings, readings);
     let mut full = vec![0; DATAGRAM_BYTES - 20];
     let two = [readings[0], readings[0]];
-    assert_eq!(
-        Extension::default()
-            .append_readings(&mut full, &two)
-            .unwrap(),
-        1
-    );
+    assert_eq!(Extension::append_readings(&mut full, &two).unwrap(), 1);
     assert_eq!(full.len(), DATAGRAM_BYTES);
 
     // The one of another host is older than this host's own, or has waited too long.
--- a/tests/gateway_formats.rs
+++ b/tests/gateway_formats.rs
@@ -9,9 +9,6 @@
 use std::path::Path;
 use std::time::Duration;
 
-use masticmoor::gateway::admit::share::Demand;
-use masticmoor::gateway::admit::share::Key;
-use masticmoor::gateway::admit::share::MAX_DEMANDS;
 use masticmoor::gateway::datagram;
 use masticmoor::gateway::datagram::Datagram;
 use masticmoor::gateway::datagram::Message;
@@ -199,44 +196,6 @@
     assert_eq!(decoded.format, VERSION);
 }
 
-/// Builds before ignore the demands that follow a message, and relays forward them to others.
-#[test]
-fn demands_are_appended_to_a_message() {
-    let demand = |workspace: &str| Demand {
-        granted: 300,
-        ..Demand::waiting(Key::new(&"s1".into(), 9, &workspace.into()), 1_000)
-    };
-    let extension = format::Extension {
-        demands: (0..MAX_DEMANDS)
-            .map(|it| demand(&format!("w{it}")))
-            .collect(),
-        ..format::Extension::default()
-    };
-    let plain = message(VERSION).encode().unwrap();
-    let bytes = message(VERSION).encode_with(&extension).unwrap();
-    assert!(bytes.starts_with(&plain));
-    let appended = bytes.len() - plain.len();
-    assert!(appended <= 90, "{appended} bytes appended");
-    let decoded = datagram::decode(&bytes).unwrap();
-    assert_eq!(decoded.datagram, Datagram::Message(message(VERSION)));
-    assert_eq!(decoded.demands, extension.demands);
-    let older = Encoded::new(&bytes).in_format(9).unwrap().to_vec();
-    assert!(datagram::decode(&older).unwrap().demands.is_empty());
-    let datagrams = summary(VERSION).encode_with(&extension).unwrap();
-    assert_eq!(
-        datagram::decode(datagrams.first().unwrap())
-            .unwrap()
-            .demands,
-        extension.demands
-    );
-    // A message that is full makes room.
-    let mut full = message(VERSION);
-    full.report.placements = (0..500).map(|it| (it, "u1".into())).collect();
-    let bytes = full.encode_with(&extension).unwrap();
-    assert!(bytes.len() <= datagram::DATAGRAM_BYTES);
-    assert_eq!(datagram::decode(&bytes).unwrap().demands, extension.demands);
-}
-
 proptest! {
     /// Bytes of any sender must not end the process.
     #[test]
