Start no request on a connection that has been chosen for closing

Cause: between the last byte of a body and the start of its request, the connection could be removed from the table to make room for another. Lease::run() did nothing on a removed entry, so the request started and its connection was cut 250 ms later.

Change: run() returns whether the entry is still open. If it isn't, the request is refused with no-room and has not run. Other hosts' requests for the store's items get a 503 in that case.

--- a/src/gateway/intake/connections.rs
+++ b/src/gateway/intake/connections.rs
@@ -127,12 +127,14 @@
     /// Records that the caller sent something, or received a response: it is waited for from now
     /// on.
     pub fn wait(&self, now: Instant) {
-        self.set(Some(now));
+        let _is_open = self.set(Some(now));
     }
 
-    /// Records that a request runs.
-    pub fn run(&self) {
-        self.set(None);
+    /// Records that a request runs. Returns whether the connection is still open: if it has been
+    /// chosen for closing, its requests must not start.
+    #[must_use = "a request must not start on a connection that closes"]
+    pub fn run(&self) -> bool {
+        self.set(None)
     }
 
     /// Waits until the connection is to be closed to make room for another.
@@ -140,9 +142,14 @@
         self.closed.cancelled().await;
     }
 
-    fn set(&self, waits_since: Option<Instant>) {
-        if let Some(connection) = lock(&self.table).open.get_mut(&self.id) {
-            connection.waits_since = waits_since;
+    /// Returns whether the connection is still open.
+    fn set(&self, waits_since: Option<Instant>) -> bool {
+        match lock(&self.table).open.get_mut(&self.id) {
+            Some(connection) => {
+                connection.waits_since = waits_since;
+                true
+            }
+            None => false,
         }
     }
 }
--- a/src/gateway/intake/read.rs
+++ b/src/gateway/intake/read.rs
@@ -55,10 +55,12 @@
         result = received => result,
     };
     let bytes = result?;
-    if let Some(connection) = connection {
-        connection.run();
+    // The connection may have been chosen for closing since the last byte arrived. Nothing has been
+    // sent to an upstream by then.
+    match connection.is_none_or(connections::Lease::run) {
+        true => Ok((bytes, lease)),
+        false => Err(no_room(state)),
     }
-    Ok((bytes, lease))
 }
 
 async fn receive(
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -145,10 +145,11 @@
             guard.attach(response)
         }
         (_, lease) => {
-            if let Some(lease) = &lease {
-                lease.run();
-            }
-            let response = handle(state, request).await;
+            let is_open = lease.as_ref().is_none_or(|lease| lease.run());
+            let response = match is_open {
+                true => handle(state, request).await,
+                false => respond(StatusCode::SERVICE_UNAVAILABLE, "no room\n"),
+            };
             if let Some(lease) = &lease {
                 lease.wait(Instant::now());
             }
--- a/tests/gateway_intake.rs
+++ b/tests/gateway_intake.rs
@@ -157,7 +157,7 @@
     let (running, idle, active) = (open(now), open(now), open(now));
     assert_eq!(open(now).1, Some(Shed::Refused));
     let later = now + STALL_TIME;
-    running.0.as_ref().unwrap().run();
+    assert!(running.0.as_ref().unwrap().run());
     active.0.as_ref().unwrap().wait(later);
     let (fresh, shed) = open(later);
     assert_eq!(shed, Some(Shed::Closed));
@@ -169,6 +169,18 @@
     assert_eq!(table.lock().unwrap().take_unlogged(later), None);
 }
 
+/// Guards against a request that starts on a connection that has been chosen for closing, and that
+/// is then cut.
+#[test]
+fn no_request_starts_on_a_connection_that_closes() {
+    let (table, now) = (Arc::<Mutex<connections::Table>>::default(), Instant::now());
+    let open = |now| connections::Lease::new(&table, now, 1).0.unwrap();
+    let first = open(now);
+    let second = open(now + STALL_TIME);
+    assert!(!first.run());
+    assert!(second.run());
+}
+
 /// Guards against large bodies that use the memory that is kept for small ones.
 #[test]
 fn a_body_announced_as_large_is_so_from_its_first_byte() {
