Count a connection as waiting only once its response has been written

Cause: a connection counted as waiting for its caller from the drop of the response's body.

Change: the end of a request marks the connection as unflushed, and Socket clears the mark when the library flushes it, which it does only once its own buffer is empty. Only then is the caller waited for. The same holds for connections of other hosts, which now use Socket too.

--- a/src/gateway/intake/connections.rs
+++ b/src/gateway/intake/connections.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -43,6 +45,8 @@
 struct Connection {
     /// Since when it waits for its caller; `None` while a request runs.
     waits_since: Option<Instant>,
+    /// Whether the last response may not have been written yet.
+    is_unflushed: bool,
     closed: CancellationToken,
 }
 
@@ -52,6 +56,8 @@
     table: Arc<Mutex<Table>>,
     id: Id,
     closed: CancellationToken,
+    /// As in the table, which is not locked for flushes that change nothing.
+    is_unflushed: AtomicBool,
 }
 
 impl Table {
@@ -80,7 +86,9 @@
         }
         self.unlogged += 1;
         let stalled = self.open.iter().filter_map(|(id, connection)| {
-            let since = connection.waits_since?;
+            let since = connection
+                .waits_since
+                .filter(|_| !connection.is_unflushed)?;
             (now.duration_since(since) >= STALL_TIME).then_some((since, *id))
         });
         match stalled.min() {
@@ -113,6 +121,7 @@
         connections.next += 1;
         let connection = Connection {
             waits_since: Some(now),
+            is_unflushed: false,
             closed: closed.clone(),
         };
         connections.open.insert(id, connection);
@@ -120,12 +129,12 @@
             table: table.clone(),
             id,
             closed,
+            is_unflushed: AtomicBool::new(false),
         };
         (Some(lease), shed)
     }
 
-    /// Records that the caller sent something, or received a response: it is waited for from now
-    /// on.
+    /// Records that the caller sent something: it is waited for from now on.
     pub fn wait(&self, now: Instant) {
         let _is_open = self.set(Some(now));
     }
@@ -137,6 +146,29 @@
         self.set(None)
     }
 
+    /// Records that a request ended. Its caller is waited for once the response has been written:
+    /// the HTTP library drops the body of a response when it has buffered the end of it.
+    pub fn finish(&self, now: Instant) {
+        let mut table = lock(&self.table);
+        if let Some(connection) = table.open.get_mut(&self.id) {
+            connection.waits_since = Some(now);
+            connection.is_unflushed = true;
+            self.is_unflushed.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that everything that was buffered for the connection has been written.
+    pub fn flush(&self, now: Instant) {
+        if !self.is_unflushed.swap(false, Ordering::Relaxed) {
+            return;
+        }
+        if let Some(connection) = lock(&self.table).open.get_mut(&self.id) {
+            connection.is_unflushed = false;
+            // The next request may run already.
+            connection.waits_since = connection.waits_since.map(|_| now);
+        }
+    }
+
     /// Waits until the connection is to be closed to make room for another.
     pub async fn closed(&self) {
         self.closed.cancelled().await;
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -122,7 +122,7 @@
         .route_table()
         .map_or_else(Limits::default, |table| table.limits.clone());
     let guard = socket::Guard::default();
-    let socket = Socket::new(stream, &guard);
+    let socket = Socket::new(stream, &guard).with_lease(Some(lease.clone()));
     let service = {
         let state = state.clone();
         let guard = guard.clone();
@@ -219,6 +219,6 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.state.active.fetch_sub(1, Ordering::Relaxed);
-        self.lease.wait(Instant::now());
+        self.lease.finish(Instant::now());
     }
 }
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -47,6 +47,8 @@
 use crate::mirror::Position;
 use crate::mirror::wire;
 use crate::mirror::wire::Content;
+use crate::socket;
+use crate::socket::Socket;
 
 /// Maximum size of another host's request.
 const MAX_REQUEST_BYTES: usize = 1_024;
@@ -96,6 +98,8 @@
                 let header_bytes = view.route_table().map(|table| table.limits.header_bytes);
                 let buffer = header_bytes.unwrap_or_else(|| Limits::default().header_bytes);
                 let buffer = buffer.saturating_mul(HEADER_FACTOR);
+                let socket = Socket::new(stream, &socket::Guard::default());
+                let socket = socket.with_lease(lease.clone());
                 tokio::spawn(async move {
                     let service = service_fn(|request| {
                         let state = state.clone();
@@ -104,7 +108,7 @@
                     });
                     let connection = http1::Builder::new()
                         .max_buf_size(buffer.max(listen::MIN_BUFFER_BYTES))
-                        .serve_connection(TokioIo::new(stream), service);
+                        .serve_connection(TokioIo::new(socket), service);
                     let closed = async {
                         match &lease {
                             Some(lease) => lease.closed().await,
@@ -151,7 +155,7 @@
                 false => respond(StatusCode::SERVICE_UNAVAILABLE, "no room\n"),
             };
             if let Some(lease) = &lease {
-                lease.wait(Instant::now());
+                lease.finish(Instant::now());
             }
             response.map(|body| Payload::new(body.map_err(|never| match never {})))
         }
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -1,6 +1,6 @@
 //! A caller's TCP stream that is reset, not closed in order, if a response to HTTP/1.0 is
 //! cut: such a response ends with its connection, so an orderly close would make it look
-//! complete.
+//! complete. It also records when all that was buffered for it has been written.
 
 use std::io;
 use std::io::IoSlice;
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -17,13 +18,17 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tracing::warn;
 
+use crate::gateway::intake::connections::Lease;
+
 /// A TCP stream that is reset on drop if its [`Guard`] asks for it.
 #[derive(Debug)]
 pub struct Socket {
     stream: TcpStream,
     is_reset: Arc<AtomicBool>,
+    lease: Option<Arc<Lease>>,
 }
 
 /// Decides how a [`Socket`] ends.
@@ -54,8 +59,15 @@
         Self {
             stream,
             is_reset: guard.is_reset.clone(),
+            lease: None,
         }
     }
+
+    /// Records completed writes in the lease of a connection that is counted.
+    pub fn with_lease(mut self, lease: Option<Arc<Lease>>) -> Self {
+        self.lease = lease;
+        self
+    }
 }
 
 impl Drop for Socket {
@@ -90,7 +102,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // The HTTP library flushes the stream once its own buffer is empty.
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        if let Some(lease) = &self.lease {
+            lease.flush(Instant::now());
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/gateway_intake.rs
+++ b/tests/gateway_intake.rs
@@ -2,10 +2,20 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use masticmoor::gateway::intake;
 use masticmoor::gateway::intake::Limits;
 use masticmoor::gateway::intake::STALL_TIME;
@@ -17,7 +27,13 @@
 use masticmoor::gateway::intake::pace::Progress;
 use masticmoor::options;
 use masticmoor::options::Options;
+use masticmoor::socket::Guard;
+use masticmoor::socket::Socket;
 use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// Memory for two large bodies of 100 bytes, and 60 bytes for small ones of up to 30.
@@ -30,6 +46,9 @@
     hosts: 3,
 };
 
+/// Size of a response that doesn't fit in the kernel's buffers, which hold about 10 MB.
+const RESPONSE_BYTES: usize = 64 << 20;
+
 type Bodies = Arc<Mutex<bodies::Table>>;
 
 /// Begins a body and sends bytes of it.
@@ -181,6 +200,59 @@
     assert!(second.run());
 }
 
+/// Guards against a response that is cut while it is written to a slow caller, and against a caller
+/// that is never waited for after it.
+#[tokio::test]
+async fn a_response_that_is_being_written_keeps_its_connection() {
+    let table = Arc::<Mutex<connections::Table>>::default();
+    let open = || connections::Lease::new(&table, Instant::now(), 1);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    let lease = Arc::new(open().0.unwrap());
+    let socket = Socket::new(stream, &Guard::default()).with_lease(Some(lease.clone()));
+    let service = {
+        let lease = lease.clone();
+        service_fn(move |_request: Request<Incoming>| {
+            assert!(lease.run());
+            let guard = Finish(lease.clone());
+            let body = Full::new(Bytes::from(vec![b'x'; RESPONSE_BYTES]));
+            let body = body.map_frame(move |frame| {
+                let _guard = &guard;
+                frame
+            });
+            async { Ok::<_, Infallible>(Response::new(body)) }
+        })
+    };
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+    let server = tokio::spawn(connection);
+    caller
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .await
+        .unwrap();
+    tokio::time::sleep(STALL_TIME * 2).await;
+    assert_eq!(open().1, Some(Shed::Refused));
+    let mut received = 0;
+    let mut buffer = vec![0; 1 << 16];
+    while received < RESPONSE_BYTES {
+        received += caller.read(&mut buffer).await.unwrap();
+    }
+    tokio::time::sleep(STALL_TIME * 2).await;
+    assert_eq!(open().1, Some(Shed::Closed));
+    lease.closed().await;
+    server.abort();
+}
+
+/// Ends a request on drop, as the HTTP library drops a response.
+struct Finish(Arc<connections::Lease>);
+
+impl Drop for Finish {
+    fn drop(&mut self) {
+        self.0.finish(Instant::now());
+    }
+}
+
 /// Guards against large bodies that use the memory that is kept for small ones.
 #[test]
 fn a_body_announced_as_large_is_so_from_its_first_byte() {
