Close connections and bodies that trickle to make room for others

Cause: each chunk of a body set back the time since which its connection, and the body itself, had waited. Callers that send a byte every 400 ms were never ended, and a crowd of them shut out others.

Change: a body or connection may be ended 500 ms after its last bytes, or once it is behind 4 KB/s since 500 ms after the head of its request, whichever comes first. That furthest past this time goes first. The rate is chosen, not measured: a small body of 16 KB may take 4.5 s. The time since the last chunk stays as a second reason: by the rate alone, a large body that stalls would keep its place for as long as its bytes cover.

--- a/src/gateway/intake/bodies.rs
+++ b/src/gateway/intake/bodies.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::intake::Limits;
-use crate::gateway::intake::STALL_TIME;
+use crate::gateway::intake::pace::Progress;
 use crate::lock::lock;
 
 /// Smallest allocation of a body.
@@ -48,7 +48,7 @@
         buffer: Vec<u8>,
         /// Size that its caller announced.
         announced: Option<usize>,
-        progressed: Instant,
+        progress: Progress,
         ended: CancellationToken,
     },
     /// Complete, and held by its request.
@@ -108,7 +108,7 @@
             self.make_room(now, id, more, size, limits)?;
         }
         let Some(Body::Arriving {
-            buffer, progressed, ..
+            buffer, progress, ..
         }) = self.bodies.get_mut(&id)
         else {
             return Err(Fault::NoRoom);
@@ -117,12 +117,13 @@
         // The allocator may return more than was asked for.
         self.used += buffer.capacity() - old;
         buffer.extend_from_slice(chunk);
-        *progressed = now;
+        progress.last = now;
+        progress.bytes = size;
         Ok(())
     }
 
-    /// Ends bodies that have stalled, those first that have stalled longest, until `more` bytes
-    /// fit for a body of `size` bytes. Ends none if that doesn't suffice.
+    /// Ends bodies that have stalled or are too slow, those first that are furthest behind, until
+    /// `more` bytes fit for a body of `size` bytes. Ends none if that doesn't suffice.
     fn make_room(
         &mut self,
         now: Instant,
@@ -143,10 +144,8 @@
             .bodies
             .iter()
             .filter_map(|(other, body)| match body {
-                Body::Arriving { progressed, .. }
-                    if *other != id && now.duration_since(*progressed) >= STALL_TIME =>
-                {
-                    Some((*progressed, *other, body.bytes()))
+                Body::Arriving { progress, .. } if *other != id && progress.stalls_at() <= now => {
+                    Some((progress.stalls_at(), *other, body.bytes()))
                 }
                 Body::Arriving { .. } | Body::Complete { .. } => None,
             })
@@ -206,8 +205,9 @@
 }
 
 impl Lease {
-    /// Begins to receive a body. `announced` is the size that its caller announced.
-    pub fn new(table: &Arc<Mutex<Table>>, now: Instant, announced: Option<usize>) -> Self {
+    /// Begins to receive a body. `begun` is when the head of its request arrived, and `announced` the
+    /// size that its caller announced.
+    pub fn new(table: &Arc<Mutex<Table>>, begun: Instant, announced: Option<usize>) -> Self {
         let ended = CancellationToken::new();
         let mut bodies = lock(table);
         let id = bodies.next;
@@ -215,7 +215,7 @@
         let body = Body::Arriving {
             buffer: Vec::new(),
             announced,
-            progressed: now,
+            progress: Progress::new(begun),
             ended: ended.clone(),
         };
         bodies.bodies.insert(id, body);
--- a/src/gateway/intake/connections.rs
+++ b/src/gateway/intake/connections.rs
@@ -1,7 +1,7 @@
 //! Connections of callers or of other hosts, which are bounded in number.
 //!
 //! Where there is no room for a new one, the connection that has waited longest for a request, or
-//! for more of its body, is closed. One whose request runs never is.
+//! whose body is furthest behind, is closed. One whose request runs never is.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::intake::STALL_TIME;
+use crate::gateway::intake::pace::Progress;
 use crate::lock::lock;
 
 /// Minimum time between two log lines about connections that were closed or refused.
@@ -43,8 +44,8 @@
 
 #[derive(Debug)]
 struct Connection {
-    /// Since when it waits for its caller; `None` while a request runs.
-    waits_since: Option<Instant>,
+    /// When it may be closed to make room for another; `None` while a request runs.
+    stalls_at: Option<Instant>,
     /// Whether the last response may not have been written yet.
     is_unflushed: bool,
     closed: CancellationToken,
@@ -86,10 +87,8 @@
         }
         self.unlogged += 1;
         let stalled = self.open.iter().filter_map(|(id, connection)| {
-            let since = connection
-                .waits_since
-                .filter(|_| !connection.is_unflushed)?;
-            (now.duration_since(since) >= STALL_TIME).then_some((since, *id))
+            let at = connection.stalls_at.filter(|_| !connection.is_unflushed)?;
+            (at <= now).then_some((at, *id))
         });
         match stalled.min() {
             Some((_, id)) => {
@@ -120,7 +119,7 @@
         let id = connections.next;
         connections.next += 1;
         let connection = Connection {
-            waits_since: Some(now),
+            stalls_at: Some(now + STALL_TIME),
             is_unflushed: false,
             closed: closed.clone(),
         };
@@ -134,9 +133,14 @@
         (Some(lease), shed)
     }
 
-    /// Records that the caller sent something: it is waited for from now on.
+    /// Records that the head of a request arrived: the caller is waited for from now on.
     pub fn wait(&self, now: Instant) {
-        let _is_open = self.set(Some(now));
+        self.progress(&Progress::new(now));
+    }
+
+    /// Records how far the body of a request has arrived.
+    pub fn progress(&self, progress: &Progress) {
+        let _is_open = self.set(Some(progress.stalls_at()));
     }
 
     /// Records that a request runs. Returns whether the connection is still open: if it has been
@@ -151,7 +155,7 @@
     pub fn finish(&self, now: Instant) {
         let mut table = lock(&self.table);
         if let Some(connection) = table.open.get_mut(&self.id) {
-            connection.waits_since = Some(now);
+            connection.stalls_at = Some(now + STALL_TIME);
             connection.is_unflushed = true;
             self.is_unflushed.store(true, Ordering::Relaxed);
         }
@@ -165,7 +169,7 @@
         if let Some(connection) = lock(&self.table).open.get_mut(&self.id) {
             connection.is_unflushed = false;
             // The next request may run already.
-            connection.waits_since = connection.waits_since.map(|_| now);
+            connection.stalls_at = connection.stalls_at.map(|_| now + STALL_TIME);
         }
     }
 
@@ -175,10 +179,10 @@
     }
 
     /// Returns whether the connection is still open.
-    fn set(&self, waits_since: Option<Instant>) -> bool {
+    fn set(&self, stalls_at: Option<Instant>) -> bool {
         match lock(&self.table).open.get_mut(&self.id) {
             Some(connection) => {
-                connection.waits_since = waits_since;
+                connection.stalls_at = stalls_at;
                 true
             }
             None => false,
--- a/src/gateway/intake/read.rs
+++ b/src/gateway/intake/read.rs
@@ -96,7 +96,7 @@
         progress.last = now;
         progress.bytes += chunk.len();
         if let Some(connection) = connection {
-            connection.wait(now);
+            connection.progress(&progress);
         }
     }
     lease.complete().map_err(|fault| refuse(state, fault))
--- a/tests/gateway_intake.rs
+++ b/tests/gateway_intake.rs
@@ -200,6 +200,38 @@
     assert!(second.run());
 }
 
+/// Guards against callers that send a byte now and then, and so keep others out.
+#[tokio::test]
+async fn a_body_that_trickles_makes_room() {
+    let (table, begun) = (Bodies::default(), Instant::now());
+    let connections = Arc::<Mutex<connections::Table>>::default();
+    let open = |now| connections::Lease::new(&connections, now, 2);
+    let (trickling, steady) = (open(begun).0.unwrap(), open(begun).0.unwrap());
+    let bodies = [90, 90].map(|size| send(&table, begun, size).unwrap());
+    let mut now = begun;
+    for number in 1..=5 {
+        now += STALL_TIME * 4 / 5;
+        for body in &bodies {
+            body.append(now, b"x", &LIMITS).unwrap();
+        }
+        let progress = |bytes| Progress {
+            begun,
+            last: now,
+            bytes,
+        };
+        trickling.progress(&progress(number));
+        steady.progress(&progress(number * 4_000));
+    }
+    let (_fresh, shed) = open(now);
+    assert_eq!(shed, Some(Shed::Closed));
+    trickling.closed().await;
+    assert_eq!(open(now).1, Some(Shed::Refused));
+    assert!(steady.run());
+    let other = send(&table, now, 100).unwrap();
+    assert_eq!(other.complete().unwrap().len(), 100);
+    assert_eq!(table.lock().unwrap().evicted(), 1);
+}
+
 /// Guards against a response that is cut while it is written to a slow caller, and against a caller
 /// that is never waited for after it.
 #[tokio::test]
