Count connections that are closing until their sockets are closed

Cause: a connection that was chosen for closing left the table at once, but its socket stayed open for up to 250 ms more. Within that time more sockets could be open than the bound allows for.

Change: the entry stays, marked as closing, until its lease is dropped, which follows the socket. Those that close may exceed the bound by an eighth; beyond it, new connections are refused. A new connection closes at most one, and none if those that are closing make enough room.

--- a/src/gateway/intake/connections.rs
+++ b/src/gateway/intake/connections.rs
@@ -20,6 +20,9 @@
 /// Minimum time between two log lines about connections that were closed or refused.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Connections that are closing may exceed the bound by one part in this number of it.
+const CLOSING_SHARE: usize = 8;
+
 type Id = u64;
 
 /// Why a connection has to be closed for the sake of the bound.
@@ -48,9 +51,24 @@
     stalls_at: Option<Instant>,
     /// Whether the last response may not have been written yet.
     is_unflushed: bool,
+    /// Cancelled when it is chosen for closing. It counts until its lease is dropped.
     closed: CancellationToken,
 }
 
+impl Connection {
+    fn is_closing(&self) -> bool {
+        self.closed.is_cancelled()
+    }
+
+    /// Returns from when on it may be closed to make room for another.
+    fn closable_at(&self) -> Option<Instant> {
+        match self.is_unflushed || self.is_closing() {
+            true => None,
+            false => self.stalls_at,
+        }
+    }
+}
+
 /// An open connection, which counts until it is dropped.
 #[derive(Debug)]
 pub struct Lease {
@@ -62,7 +80,7 @@
 }
 
 impl Table {
-    /// Returns the number of open connections.
+    /// Returns the number of open connections, also of those that are closing.
     pub fn count(&self) -> usize {
         self.open.len()
     }
@@ -81,20 +99,28 @@
     }
 
     /// Makes room for a connection. Returns what had to be done for it, if anything.
+    ///
+    /// A connection that closes holds its descriptor for up to 250 ms more, so the number of these
+    /// is bounded as well.
     fn make_room(&mut self, now: Instant, max: usize) -> Option<Shed> {
         if self.open.len() < max {
             return None;
         }
+        let closing = self.open.values().filter(|it| it.is_closing()).count();
+        let max_closing = (max / CLOSING_SHARE).max(1);
+        let has_place = self.open.len() < max + max_closing;
+        if has_place && self.open.len() - closing < max {
+            return None;
+        }
         self.unlogged += 1;
         let stalled = self.open.iter().filter_map(|(id, connection)| {
-            let at = connection.stalls_at.filter(|_| !connection.is_unflushed)?;
+            let at = connection.closable_at()?;
             (at <= now).then_some((at, *id))
         });
-        match stalled.min() {
-            Some((_, id)) => {
-                if let Some(connection) = self.open.remove(&id) {
-                    connection.closed.cancel();
-                }
+        let chosen = stalled.min().filter(|_| has_place);
+        match chosen.and_then(|(_, id)| self.open.get(&id)) {
+            Some(connection) => {
+                connection.closed.cancel();
                 Some(Shed::Closed)
             }
             None => Some(Shed::Refused),
@@ -181,11 +207,11 @@
     /// Returns whether the connection is still open.
     fn set(&self, stalls_at: Option<Instant>) -> bool {
         match lock(&self.table).open.get_mut(&self.id) {
-            Some(connection) => {
+            Some(connection) if !connection.is_closing() => {
                 connection.stalls_at = stalls_at;
                 true
             }
-            None => false,
+            Some(_) | None => false,
         }
     }
 }
--- a/tests/gateway_intake.rs
+++ b/tests/gateway_intake.rs
@@ -200,6 +200,27 @@
     assert!(second.run());
 }
 
+/// Guards against more open sockets than the bound allows for, while connections that were chosen
+/// for closing haven't closed.
+#[test]
+fn connections_that_close_count_until_they_have_closed() {
+    let (table, now) = (Arc::<Mutex<connections::Table>>::default(), Instant::now());
+    let open = |now| connections::Lease::new(&table, now, 16);
+    let mut old: Vec<_> = (0..16).map(|_| open(now).0.unwrap()).collect();
+    let later = now + STALL_TIME;
+    let new = [open(later), open(later)];
+    assert!(new.iter().all(|(_, shed)| *shed == Some(Shed::Closed)));
+    assert_eq!(open(later).1, Some(Shed::Refused));
+    assert_eq!(table.lock().unwrap().count(), 18);
+    assert_eq!(old.iter().filter(|it| !it.run()).count(), 2);
+    // Those that closed leave room for others.
+    old.retain(connections::Lease::run);
+    assert_eq!(table.lock().unwrap().count(), 16);
+    assert_eq!(open(later).1, Some(Shed::Refused));
+    drop(new);
+    assert_eq!(open(later).1, None);
+}
+
 /// Guards against callers that send a byte now and then, and so keep others out.
 #[tokio::test]
 async fn a_body_that_trickles_makes_room() {
@@ -225,6 +246,7 @@
     let (_fresh, shed) = open(now);
     assert_eq!(shed, Some(Shed::Closed));
     trickling.closed().await;
+    drop(trickling);
     assert_eq!(open(now).1, Some(Shed::Refused));
     assert!(steady.run());
     let other = send(&table, now, 100).unwrap();
