Refuse handed-on requests on connections beyond the bound as not run

Cause: a host at its bound on connections of other hosts dropped a new one after accepting it. The other host had written its request by then and got a reset, so a non-idempotent request that hadn't run ended with 502 and an unknown outcome.

Change: such connections are accepted up to twice the bound, and for at most 2 s each. The body of the one request is read and dropped, as unread bytes would reset the connection, and a request that is handed on is refused with not-ready and as not run, a code that earlier builds know. Others get a 503. Beyond twice the bound, connections are dropped as before.

--- a/src/gateway/intake/connections.rs
+++ b/src/gateway/intake/connections.rs
@@ -40,6 +40,8 @@
 pub struct Table {
     next: Id,
     open: BTreeMap<Id, Connection>,
+    /// Number beyond the bound, whose requests are refused.
+    excess: usize,
     /// Number closed or refused since the last log line.
     unlogged: u64,
     logged: Option<Instant>,
@@ -80,9 +82,9 @@
 }
 
 impl Table {
-    /// Returns the number of open connections, also of those that are closing.
+    /// Returns the number of open connections, also of those that are closing or beyond the bound.
     pub fn count(&self) -> usize {
-        self.open.len()
+        self.open.len() + self.excess
     }
 
     /// Returns how many connections were closed or refused since this was returned last, at most
@@ -221,3 +223,28 @@
         lock(&self.table).open.remove(&self.id);
     }
 }
+
+/// A connection beyond the bound, whose requests are refused. It counts until it is dropped.
+#[derive(Debug)]
+pub struct Excess {
+    table: Arc<Mutex<Table>>,
+}
+
+impl Excess {
+    /// Counts a connection beyond the bound of `max`, if there are fewer than twice that in total.
+    pub fn new(table: &Arc<Mutex<Table>>, max: usize) -> Option<Self> {
+        let mut connections = lock(table);
+        if connections.count() >= max.saturating_mul(2) {
+            return None;
+        }
+        connections.excess += 1;
+        let table = table.clone();
+        Some(Self { table })
+    }
+}
+
+impl Drop for Excess {
+    fn drop(&mut self) {
+        lock(&self.table).excess -= 1;
+    }
+}
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -22,21 +22,27 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
+use tracing::info;
 use tracing::warn;
 
 use crate::boot;
+use crate::gateway::accept::RETRY_AFTER_OTHER_HOST;
+use crate::gateway::accept::header_text;
 use crate::gateway::connection::set_tcp_options;
 use crate::gateway::forward;
 use crate::gateway::handoff::Handoff;
 use crate::gateway::history;
 use crate::gateway::intake::connections;
+use crate::gateway::intake::connections::Excess;
 use crate::gateway::listen;
 use crate::gateway::listen::RequestGuard;
 use crate::gateway::metrics;
 use crate::gateway::metrics::Gauges;
+use crate::gateway::refusal;
 use crate::gateway::resume;
 use crate::gateway::state::State;
 use crate::gateway::stream::Payload;
@@ -47,6 +53,8 @@
 use crate::mirror::Position;
 use crate::mirror::wire;
 use crate::mirror::wire::Content;
+use crate::outcome::Code;
+use crate::outcome::Refusal;
 use crate::socket;
 use crate::socket::Socket;
 
@@ -63,6 +71,9 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time limit of a connection beyond the bound.
+const REFUSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Who may connect to a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
@@ -85,7 +96,13 @@
                     Audience::Hosts => {
                         match listen::admit(&state, &state.hosts, listen::Audience::Hosts) {
                             Some(lease) => Some(Arc::new(lease)),
-                            None => continue,
+                            None => {
+                                let max = state.intake_limits(0).hosts;
+                                if let Some(excess) = Excess::new(&state.hosts, max) {
+                                    tokio::spawn(refuse(state.clone(), stream, excess));
+                                }
+                                continue;
+                            }
                         }
                     }
                     Audience::Operators => None,
@@ -94,10 +111,7 @@
                     warn!(%error, "operators: can't set TCP options");
                 }
                 let state = state.clone();
-                let view = state.view();
-                let header_bytes = view.route_table().map(|table| table.limits.header_bytes);
-                let buffer = header_bytes.unwrap_or_else(|| Limits::default().header_bytes);
-                let buffer = buffer.saturating_mul(HEADER_FACTOR);
+                let buffer = buffer_bytes(&state);
                 let socket = Socket::new(stream, &socket::Guard::default());
                 let socket = socket.with_lease(lease.clone());
                 tokio::spawn(async move {
@@ -107,7 +121,7 @@
                         async move { Ok::<_, Infallible>(serve(&state, request, lease).await) }
                     });
                     let connection = http1::Builder::new()
-                        .max_buf_size(buffer.max(listen::MIN_BUFFER_BYTES))
+                        .max_buf_size(buffer)
                         .serve_connection(TokioIo::new(socket), service);
                     let closed = async {
                         match &lease {
@@ -134,6 +148,54 @@
     }
 }
 
+/// Returns the size of the buffer for the head of a request.
+fn buffer_bytes(state: &State) -> usize {
+    let view = state.view();
+    let header_bytes = view.route_table().map(|table| table.limits.header_bytes);
+    let buffer = header_bytes.unwrap_or_else(|| Limits::default().header_bytes);
+    let buffer = buffer.saturating_mul(HEADER_FACTOR);
+    buffer.max(listen::MIN_BUFFER_BYTES)
+}
+
+/// Refuses the request of another host on a connection beyond the bound. If the connection were
+/// closed at once, the other host couldn't tell whether the request that it wrote has run.
+async fn refuse(state: Arc<State>, stream: TcpStream, excess: Excess) {
+    if let Err(error) = set_tcp_options(&stream) {
+        warn!(%error, "operators: can't set TCP options");
+    }
+    let service = service_fn(|request: Request<Incoming>| {
+        let state = state.clone();
+        async move { Ok::<_, Infallible>(refuse_request(&state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .keep_alive(false)
+        .max_buf_size(buffer_bytes(&state))
+        .serve_connection(TokioIo::new(stream), service);
+    // Disconnects are not logged.
+    let _ended = timeout(REFUSE_TIMEOUT, connection).await;
+    drop(excess);
+}
+
+/// Returns the response to a request for which there is no connection.
+async fn refuse_request(state: &State, request: Request<Incoming>) -> Response<Payload> {
+    let is_handoff = Handoff::of(request.headers()).is_some();
+    let id = header_text(request.headers(), &state.names.attempt).unwrap_or_default();
+    let id = id.to_owned();
+    // A connection that is closed with unread bytes is reset, and the response is lost.
+    let mut body = request.into_body();
+    while let Some(Ok(_dropped)) = body.frame().await {}
+    if !is_handoff {
+        let response = respond(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
+        return response.map(|body| Payload::new(body.map_err(|never| match never {})));
+    }
+    // Hosts of earlier builds don't know `no-room`.
+    let refusal = Refusal::not_run(Code::NotReady).with_retry_after(RETRY_AFTER_OTHER_HOST);
+    state.meter.refused(refusal.code);
+    info!(id, code = %refusal.code, "request: handed on beyond the bound on connections");
+    let attempt = (!id.is_empty()).then_some((&state.names.attempt, id.as_str()));
+    refusal::response(&refusal, attempt)
+}
+
 /// Serves a request. Only other hosts, whose connections have a `lease`, may hand requests on.
 async fn serve(
     state: &Arc<State>,
