--- a/tests/gateway_intake.rs
+++ b/tests/gateway_intake.rs
@@ -2,10 +2,20 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use masticmoor::gateway::intake;
 use masticmoor::gateway::intake::Limits;
 use masticmoor::gateway::intake::STALL_TIME;
@@ -17,7 +27,13 @@
 use masticmoor::gateway::intake::pace::Progress;
 use masticmoor::options;
 use masticmoor::options::Options;
+use masticmoor::socket::Guard;
+use masticmoor::socket::Socket;
 use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// Memory for two large bodies of 100 bytes, and 60 bytes for small ones of up to 30.
@@ -30,6 +46,9 @@
     hosts: 3,
 };
 
+/// Size of a response that doesn't fit in the kernel's buffers, which hold about 10 MB.
+const RESPONSE_BYTES: usize = 64 << 20;
+
 type Bodies = Arc<Mutex<bodies::Table>>;
 
 /// Begins a body and sends bytes of it.
@@ -157,7 +176,7 @@
     let (running, idle, active) = (open(now), open(now), open(now));
     assert_eq!(open(now).1, Some(Shed::Refused));
     let later = now + STALL_TIME;
-    running.0.as_ref().unwrap().run();
+    assert!(running.0.as_ref().unwrap().run());
     active.0.as_ref().unwrap().wait(later);
     let (fresh, shed) = open(later);
     assert_eq!(shed, Some(Shed::Closed));
@@ -169,6 +188,125 @@
     assert_eq!(table.lock().unwrap().take_unlogged(later), None);
 }
 
+/// Guards against a request that starts on a connection that has been chosen for closing, and that
+/// is then cut.
+#[test]
+fn no_request_starts_on_a_connection_that_closes() {
+    let (table, now) = (Arc::<Mutex<connections::Table>>::default(), Instant::now());
+    let open = |now| connections::Lease::new(&table, now, 1).0.unwrap();
+    let first = open(now);
+    let second = open(now + STALL_TIME);
+    assert!(!first.run());
+    assert!(second.run());
+}
+
+/// Guards against more open sockets than the bound allows for, while connections that were chosen
+/// for closing haven't closed.
+#[test]
+fn connections_that_close_count_until_they_have_closed() {
+    let (table, now) = (Arc::<Mutex<connections::Table>>::default(), Instant::now());
+    let open = |now| connections::Lease::new(&table, now, 16);
+    let mut old: Vec<_> = (0..16).map(|_| open(now).0.unwrap()).collect();
+    let later = now + STALL_TIME;
+    let new = [open(later), open(later)];
+    assert!(new.iter().all(|(_, shed)| *shed == Some(Shed::Closed)));
+    assert_eq!(open(later).1, Some(Shed::Refused));
+    assert_eq!(table.lock().unwrap().count(), 18);
+    assert_eq!(old.iter().filter(|it| !it.run()).count(), 2);
+    // Those that closed leave room for others.
+    old.retain(connections::Lease::run);
+    assert_eq!(table.lock().unwrap().count(), 16);
+    assert_eq!(open(later).1, Some(Shed::Refused));
+    drop(new);
+    assert_eq!(open(later).1, None);
+}
+
+/// Guards against callers that send a byte now and then, and so keep others out.
+#[tokio::test]
+async fn a_body_that_trickles_makes_room() {
+    let (table, begun) = (Bodies::default(), Instant::now());
+    let connections = Arc::<Mutex<connections::Table>>::default();
+    let open = |now| connections::Lease::new(&connections, now, 2);
+    let (trickling, steady) = (open(begun).0.unwrap(), open(begun).0.unwrap());
+    let bodies = [90, 90].map(|size| send(&table, begun, size).unwrap());
+    let mut now = begun;
+    for number in 1..=5 {
+        now += STALL_TIME * 4 / 5;
+        for body in &bodies {
+            body.append(now, b"x", &LIMITS).unwrap();
+        }
+        let progress = |bytes| Progress {
+            begun,
+            last: now,
+            bytes,
+        };
+        trickling.progress(&progress(number));
+        steady.progress(&progress(number * 4_000));
+    }
+    let (_fresh, shed) = open(now);
+    assert_eq!(shed, Some(Shed::Closed));
+    trickling.closed().await;
+    drop(trickling);
+    assert_eq!(open(now).1, Some(Shed::Refused));
+    assert!(steady.run());
+    let other = send(&table, now, 100).unwrap();
+    assert_eq!(other.complete().unwrap().len(), 100);
+    assert_eq!(table.lock().unwrap().evicted(), 1);
+}
+
+/// Guards against a response that is cut while it is written to a slow caller, and against a caller
+/// that is never waited for after it.
+#[tokio::test]
+async fn a_response_that_is_being_written_keeps_its_connection() {
+    let table = Arc::<Mutex<connections::Table>>::default();
+    let open = || connections::Lease::new(&table, Instant::now(), 1);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    let lease = Arc::new(open().0.unwrap());
+    let socket = Socket::new(stream, &Guard::default()).with_lease(Some(lease.clone()));
+    let service = {
+        let lease = lease.clone();
+        service_fn(move |_request: Request<Incoming>| {
+            assert!(lease.run());
+            let guard = Finish(lease.clone());
+            let body = Full::new(Bytes::from(vec![b'x'; RESPONSE_BYTES]));
+            let body = body.map_frame(move |frame| {
+                let _guard = &guard;
+                frame
+            });
+            async { Ok::<_, Infallible>(Response::new(body)) }
+        })
+    };
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+    let server = tokio::spawn(connection);
+    caller
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .await
+        .unwrap();
+    tokio::time::sleep(STALL_TIME * 2).await;
+    assert_eq!(open().1, Some(Shed::Refused));
+    let mut received = 0;
+    let mut buffer = vec![0; 1 << 16];
+    while received < RESPONSE_BYTES {
+        received += caller.read(&mut buffer).await.unwrap();
+    }
+    tokio::time::sleep(STALL_TIME * 2).await;
+    assert_eq!(open().1, Some(Shed::Closed));
+    lease.closed().await;
+    server.abort();
+}
+
+/// Ends a request on drop, as the HTTP library drops a response.
+struct Finish(Arc<connections::Lease>);
+
+impl Drop for Finish {
+    fn drop(&mut self) {
+        self.0.finish(Instant::now());
+    }
+}
+
 /// Guards against large bodies that use the memory that is kept for small ones.
 #[test]
 fn a_body_announced_as_large_is_so_from_its_first_byte() {
