--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -28,7 +28,7 @@
 /// Part of the memory for bodies that only small ones get is one in this number.
 const RESERVE_SHARE: usize = 4;
 
-/// Size up to which a body is small. Prompts of the published callers have up to 12 KB.
+/// Size up to which a body is small, above the mean of the longest published prompts, 12 KB.
 const SMALL_BYTES: usize = 16 << 10;
 
 /// Minimum memory for small bodies, however little the machine has.
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -56,9 +56,10 @@
         "request: end of the response can't be confirmed");
     Err(match doubt {
         Doubt::Late => Code::StreamTimeout,
-        Doubt::Refused | Doubt::Closed | Doubt::Replaced => Code::AnswerCut,
-        // They accuse the request of no crash.
-        Doubt::Timeout | Doubt::NotListed => Code::UpstreamFailed,
+        Doubt::Refused | Doubt::Replaced => Code::AnswerCut,
+        // They accuse the request of no crash. An upstream at its limit of connections closes new
+        // ones at once, too.
+        Doubt::Closed | Doubt::Timeout | Doubt::NotListed => Code::UpstreamFailed,
     })
 }
 
