Let engines queue a quarter of their slots, not as many again

Cause: in the burst each engine gets up to two requests per slot. Those in its queue are served late, and some 4,500 streams are still there when the burst is over.

Ruled out: gossip and connections (bounded before), processor time.

Change: engines get up to 1.25 requests per slot when all are above their caps; the rest waits at the hosts in order, or is refused.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -67,6 +67,11 @@
 /// More than any plain upstream that may get requests costs, in requests per slot.
 const MAX_COST: f64 = SLOT_LIMIT as f64 + FAILURE_COST;
 
+/// Requests per slot up to which an engine gets some when all are above their caps. What it queues
+/// beyond its slots is served late, and is still there when an overload is over: at two requests
+/// per slot, streams that began during a burst delayed new ones for four seconds after it.
+const ENGINE_SLOT_LIMIT: f64 = 1.25;
+
 /// Load of a plain upstream, in requests per slot, below which upstreams of the
 /// caller's zone are preferred.
 const LOCAL_SLOT_LIMIT: f64 = 0.7;
@@ -146,6 +151,11 @@
         self.concurrency.min(f64::from(self.slots)).max(1.0)
     }
 
+    /// Returns whether an engine may queue one more request.
+    fn has_room_queued(&self) -> bool {
+        f64::from(self.load) < f64::from(self.slots) * ENGINE_SLOT_LIMIT
+    }
+
     /// Returns its load as work ahead, up to a cap on its requests. `scale` is the cost of a
     /// request at an upstream as fast as usual, `idle_cost` that of an idle one that is twice as
     /// slow.
@@ -277,8 +287,8 @@
 ///
 /// Of the engines below their caps, it takes one that holds the prefix, the caller's zone
 /// first and the least loaded if counts are recent, or else the first in the prefix's
-/// rendezvous order. If all are above their caps, it takes one of the least loaded, up to two
-/// requests per slot and the load that users allow. Unless `may_probe`, an upstream that is
+/// rendezvous order. If all are above their caps, it takes one of the least loaded, up to
+/// [`ENGINE_SLOT_LIMIT`] and the load that users allow. Unless `may_probe`, an upstream that is
 /// due for a probe is used only if no healthy one remains. `draw` is uniform in 0..1.
 pub fn engine(
     prompt: Prompt,
@@ -291,8 +301,7 @@
         Ok(eligible) => eligible,
         Err(choice) => return choice,
     };
-    let may_send =
-        |it: &Candidate<'_>| it.load < it.slots.saturating_mul(2) && may_exceed(mean, it);
+    let may_send = |it: &Candidate<'_>| it.has_room_queued() && may_exceed(mean, it);
     let allowed: Vec<Indexed<'_, '_>> = eligible
         .iter()
         .filter(|(_, it)| may_send(it))
@@ -364,10 +373,12 @@
     holders
 }
 
-/// Chooses an engine when all are above their caps: one of the least loaded, up to two requests
-/// per slot.
+/// Chooses an engine when all are above their caps: one of the least loaded, up to
+/// [`ENGINE_SLOT_LIMIT`].
 fn queued(pool: &[Indexed<'_, '_>], draw: f64) -> Result<usize, f64> {
-    let loads = pool.iter().map(|(_, it)| it.engine_work(it.limit() * 2.0));
+    let loads = pool
+        .iter()
+        .map(|(_, it)| it.engine_work(it.limit() * ENGINE_SLOT_LIMIT));
     let at = spread::choose(&loads.collect::<Vec<_>>(), draw)?;
     pool.get(at).map(|(index, _)| *index).ok_or(draw)
 }
