review: show a truncated stream that ends as complete

Cause: the end of a body that ends with its connection is believed if the upstream is alive. The check compares address and start with the view as it is, which after a freeze is the one from before it, and so takes a process that was started since for the one that sent the body.

Change: a script that freezes one of nine machines for 3.45 s while a runner crashes and starts again. Nothing is fixed.

--- a/review/stand-2.rs
+++ b/review/stand-2.rs
@@ -21,6 +21,8 @@
 
 #[path = "6/case.rs"]
 mod case_6;
+#[path = "7/case.rs"]
+mod case_7;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -889,6 +891,7 @@
     let fleet = Fleet::start(&format!("case-{case}"))?;
     let result = match case {
         "6" => case_6::play(&fleet, has_trouble),
+        "7" => case_7::play(&fleet, has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
     fleet.finish(folder)?;
