review: show streams of two versions in one answer

Cause: a stream that moves within its answer is bound to the version in the view, however old the copy of the store is. A runner that started again under its id with a newer version while the store was down passes for the old one.

Change: a script in which one of four runners comes back with a newer version and another one crashes, while the store is silent for 3.8 s. Nothing is fixed.

--- a/review/stand-2.rs
+++ b/review/stand-2.rs
@@ -23,6 +23,8 @@
 mod case_6;
 #[path = "7/case.rs"]
 mod case_7;
+#[path = "8/case.rs"]
+mod case_8;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -892,6 +894,7 @@
     let result = match case {
         "6" => case_6::play(&fleet, has_trouble),
         "7" => case_7::play(&fleet, has_trouble),
+        "8" => case_8::play(&fleet, has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
     fleet.finish(folder)?;
