review: show complete streams that are cut at a leaving runner

Cause: the end of a body that ends with its connection is not believed if the upstream isn't listed any more. A runner that leaves removes its entry and serves on, so its last answers are cut at their end.

Change: a script that removes the entry of one of four runners, which serves on, while the machine that passes on its streams is stopped by SIGTERM. Nothing is fixed.

--- a/review/stand-2.rs
+++ b/review/stand-2.rs
@@ -25,6 +25,8 @@
 mod case_7;
 #[path = "8/case.rs"]
 mod case_8;
+#[path = "9/case.rs"]
+mod case_9;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -895,6 +897,7 @@
         "6" => case_6::play(&fleet, has_trouble),
         "7" => case_7::play(&fleet, has_trouble),
         "8" => case_8::play(&fleet, has_trouble),
+        "9" => case_9::play(&fleet, has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
     fleet.finish(folder)?;
