review: show a cold runner that gets its full load

Cause: whether an upstream is cold is read from the view alone. While the store is down, a runner that crashed and started again under its id passes for warm.

Change: a script in which one of four runners crashes and comes back cold while the store is silent for 3.8 s. Nothing is fixed.

--- a/review/stand-2.rs
+++ b/review/stand-2.rs
@@ -19,6 +19,8 @@
 #[path = "fleet-2.rs"]
 mod fleet;
 
+#[path = "10/case.rs"]
+mod case_10;
 #[path = "6/case.rs"]
 mod case_6;
 #[path = "7/case.rs"]
@@ -898,6 +900,7 @@
         "7" => case_7::play(&fleet, has_trouble),
         "8" => case_8::play(&fleet, has_trouble),
         "9" => case_9::play(&fleet, has_trouble),
+        "10" => case_10::play(&fleet, has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
     fleet.finish(folder)?;
