Believe the end of a close-delimited response whose upstream lost its entry

A purchase that was answered so ended as 502.

Cause: `liveness` took a missing entry for a process that has ended. An entry says whether an upstream wants new requests; one that never reports that it drains removes it first, and one that can't reach the store loses it. Ruled out: the planned stop of the host, without which the streams are cut just so.

Change: what tells whether the process is the same is a connection that is opened when such a response begins (`witness`, one per upstream, shared) and is still open after its end. It goes before the list of the platform, of which an earlier start counts for nothing, as it comes from a store that was restored. A response that ends before the witness is open is believed without an entry by a host that wasn't suspended since it sent the request (`pulse`). A new connection still has to be accepted, unless the upstream leaves. An upstream without an entry counts as one that leaves. The decision is pure (`Evidence::judge`).

One test is replaced: `the_end_of_a_stream_is_confirmed_by_its_own_upstream_only` expected that an upstream without an entry, or with one elsewhere, isn't believed, though its process was alive. Each case is now played twice, with a process that lives on and with one that another follows at the address.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -41,6 +41,7 @@
 pub mod peers;
 pub mod placement;
 pub mod prefix_cache;
+pub mod pulse;
 pub mod reach;
 pub mod reader;
 pub mod refusal;
@@ -60,5 +61,6 @@
 pub mod upstream;
 pub mod view;
 pub mod warmup;
+pub mod witness;
 
 pub use state::State;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::boot;
 use crate::framing::Framing;
 use crate::gateway::accept;
 use crate::gateway::accept::RETRY_AFTER_NO_UPSTREAM;
@@ -33,6 +34,7 @@
 use crate::gateway::health::Observation;
 use crate::gateway::job::Job;
 use crate::gateway::job::segment_list;
+use crate::gateway::liveness;
 use crate::gateway::reach;
 use crate::gateway::rejections;
 use crate::gateway::selection::Lease;
@@ -170,6 +172,8 @@
     pub lease: Option<Lease>,
     /// When the request was sent.
     pub sent: Instant,
+    /// Tells at the end of the body whether the upstream's process is alive.
+    pub watch: liveness::Watch,
 }
 
 /// Why an attempt gave no usable response.
@@ -751,6 +755,7 @@
     }
     let mut connection = connection.map_err(Loss::Unsent)?;
     let sent = Instant::now();
+    let sent_at = boot::Instant::now();
     // The connection took up the rest of the time, or the host was suspended meanwhile.
     if sent >= job.deadline {
         return Err(Loss::Unsent(Fault::Unsent));
@@ -818,6 +823,7 @@
         body,
         framing,
         connection,
+        watch: liveness::Watch::start(state, upstream.address, framing, sent_at),
         record: Arc::clone(&lease.record),
         lease: Some(lease),
         sent,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -209,6 +209,7 @@
         record,
         lease,
         sent: _,
+        watch,
     } = exchange;
     // Buffered, so that a truncated response can be retried.
     let body = match timeout_at(job.deadline, state.buffers.read(body)).await {
@@ -220,7 +221,7 @@
         return Err(Code::AnswerCut);
     }
     if framing::may_be_cut(framing, &parts.headers, &body) {
-        liveness::confirm(state, job, &record, lease.is_some()).await?;
+        liveness::confirm(state, job, &record, &watch, lease.is_some()).await?;
     }
     let now = Instant::now();
     state.release_connection(connection, record.upstream.slots);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -38,6 +38,7 @@
 use crate::gateway::health::Scope;
 use crate::gateway::origin;
 use crate::gateway::peers::Selection;
+use crate::gateway::pulse;
 use crate::gateway::relay;
 use crate::gateway::relay::LocalHost;
 use crate::gateway::relay::Recipients;
@@ -56,9 +57,6 @@
 /// Number of suspects by which each message begins later than the one before.
 const SUSPECTS_STEP: usize = 8;
 
-/// Delay of a round from which on the host counts as suspended. A busy host is late by less.
-const MIN_SUSPENSION: Duration = Duration::from_millis(500);
-
 /// Time in which the datagrams that arrived during a suspension are read.
 const BACKLOG_TIME: Duration = Duration::from_millis(200);
 
@@ -92,6 +90,7 @@
             () = state.gossip_urgent.notified() => next = next.min(earliest),
             () = state.origin_recorded.notified() => send_origins(&state, &socket).await,
         }
+        lock(&state.pulse).beat(boot::Instant::now());
     }
 }
 
@@ -109,7 +108,7 @@
     /// Records that a round is due, or was: one that is late shows that the host was suspended.
     pub fn observe(&mut self, now: Instant, due: Instant) {
         let delay = now.saturating_duration_since(due);
-        if delay >= MIN_SUSPENSION {
+        if delay >= pulse::MIN_SUSPENSION {
             let longest = self.late.map_or(delay, |(late, _)| delay.max(late));
             self.late = Some((longest, now + BACKLOG_TIME));
         }
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -32,6 +32,7 @@
 use crate::gateway::attempt::History;
 use crate::gateway::connection::Fault;
 use crate::gateway::job::Job;
+use crate::gateway::liveness;
 use crate::gateway::rejections;
 use crate::gateway::state::State;
 use crate::gateway::upstream::Record;
@@ -216,7 +217,7 @@
 }
 
 async fn exchange(
-    state: &State,
+    state: &Arc<State>,
     job: &Job,
     history: &mut History,
     host: Ipv4Addr,
@@ -227,6 +228,7 @@
     let connection = state.pool.acquire(address, is_fresh).await;
     let mut connection = connection.map_err(Loss::Unsent)?;
     let sent = Instant::now();
+    let sent_at = boot::Instant::now();
     // The connection took up the rest of the time, or the host was suspended meanwhile.
     if sent >= job.deadline {
         return Err(Loss::Unsent(Fault::Unsent));
@@ -276,6 +278,7 @@
         record,
         lease: None,
         sent,
+        watch: liveness::Watch::start(state, address, framing, sent_at),
     })
 }
 
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -1,11 +1,18 @@
 //! Confirms the end of a response that ends with its connection.
 //!
 //! The system closes the connections of a process that was killed in order, which looks like the end
-//! of a response without a length or chunks. Such an end is believed only if the upstream's process
-//! is alive after it: it accepts a connection, and keeps it open for a moment. No request is sent, so
-//! that nothing runs twice and the retry budget is left to losses.
+//! of a response without a length or chunks. Such an end is believed only if the process that sent
+//! the response is alive after it. No request is sent, so that nothing runs twice and the retry
+//! budget is left to losses.
+//!
+//! That somebody accepts a connection at the address isn't enough for a host that learns late of the
+//! end: the process may have been started again, and another upstream may have the address. That the
+//! platform doesn't list the upstream any more says nothing of the process, which may serve on. The
+//! [`witness`] tells, and where there is none, whether this host was suspended.
 
 use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use strum::Display;
@@ -13,11 +20,15 @@
 use tokio::time::timeout_at;
 use tracing::info;
 
+use crate::boot;
+use crate::framing::Framing;
 use crate::gateway::connection::Fault;
 use crate::gateway::job::Job;
 use crate::gateway::reach;
 use crate::gateway::state::State;
 use crate::gateway::upstream::Record;
+use crate::gateway::witness;
+use crate::gateway::witness::Witness;
 use crate::lock::lock;
 use crate::log::millis;
 use crate::outcome::Code;
@@ -29,30 +40,129 @@
 /// Why the end of a response can't be believed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
-enum Doubt {
+pub enum Doubt {
     /// The connection was refused.
     Refused,
     /// No connection could be opened in time. The network may have failed.
     Timeout,
     /// The connection ended at once.
     Closed,
-    /// The upstream is not listed any more.
+    /// The upstream is not listed any more, and nothing else shows that its process is the same.
     NotListed,
-    /// The upstream is listed at another address, or with a process that started later.
+    /// Another process has the upstream's address or identifier.
     Replaced,
     /// The deadline of the request has passed.
     Late,
 }
 
-/// Returns whether the end of a response is confirmed by its upstream, which is alive. `is_own` is
-/// whether this host sent the request to it, rather than another host.
-pub async fn confirm(state: &State, job: &Job, record: &Record, is_own: bool) -> Result<(), Code> {
+/// What is collected while a response arrives, to tell at its end whether its process is alive.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    /// When the request was sent.
+    sent: boot::Instant,
+    /// Connection to the process; `None` if the end of the response is marked otherwise.
+    witness: Option<Arc<Witness>>,
+}
+
+impl Watch {
+    /// Begins with the head of a response, whose request was sent at `sent`.
+    pub fn start(
+        state: &Arc<State>,
+        address: SocketAddr,
+        framing: Framing,
+        sent: boot::Instant,
+    ) -> Self {
+        let needs_witness = framing == Framing::Close;
+        Self {
+            sent,
+            witness: needs_witness.then(|| witness::join(state, address)),
+        }
+    }
+}
+
+/// What became of a new connection to the address of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Probe {
+    /// It stayed open.
+    Held,
+    /// It was accepted and ended at once. An upstream at its limit of connections does so, too.
+    Closed,
+    /// It was refused.
+    Refused,
+    /// There was no response.
+    Timeout,
+}
+
+/// What the platform lists of an upstream that began a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Listing {
+    /// The same process.
+    Same,
+    /// Another process at its address or with its identifier.
+    Replaced,
+    /// Neither.
+    Missing,
+}
+
+/// What is known of the process that sent a response, after its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Evidence {
+    /// A new connection.
+    pub probe: Probe,
+    /// An earlier connection.
+    pub witness: witness::Status,
+    /// Whether the host was suspended while the response arrived, and may have found its end late.
+    pub is_late: bool,
+    /// Whether it is known to leave, so that it may have stopped to accept connections.
+    pub is_leaving: bool,
+    /// What the platform lists.
+    pub listing: Listing,
+}
+
+impl Evidence {
+    /// Decides whether the end of the response is that of its process.
+    pub fn judge(&self) -> Result<(), Doubt> {
+        let has_witness = self.witness == witness::Status::Open;
+        // A process takes longer to start again than a host that wasn't suspended to find the end.
+        let is_prompt = self.witness == witness::Status::Missing && !self.is_late;
+        match (self.probe, self.listing) {
+            (Probe::Timeout, _) => Err(Doubt::Timeout),
+            // A lost packet may hide from an idle connection that the process has ended.
+            (Probe::Refused, _) if has_witness && self.is_leaving => Ok(()),
+            (Probe::Refused, _) => Err(Doubt::Refused),
+            (Probe::Held | Probe::Closed, _) if has_witness => Ok(()),
+            (_, Listing::Replaced) => Err(Doubt::Replaced),
+            (Probe::Closed, _) => Err(Doubt::Closed),
+            (Probe::Held, Listing::Same) => Ok(()),
+            (Probe::Held, Listing::Missing) if is_prompt => Ok(()),
+            (Probe::Held, Listing::Missing) => Err(Doubt::NotListed),
+        }
+    }
+}
+
+/// Returns whether the end of a response, which was just read, is confirmed: the process that sent
+/// it is alive.
+pub async fn confirm(
+    state: &Arc<State>,
+    job: &Job,
+    record: &Record,
+    watch: &Watch,
+    is_own: bool,
+) -> Result<(), Code> {
     let started = Instant::now();
-    let checked = timeout_at(job.deadline, check(state, record, is_own)).await;
-    let Err(doubt) = checked.unwrap_or(Err(Doubt::Late)) else {
+    let collected = timeout_at(job.deadline, collect(state, record, watch, is_own)).await;
+    let evidence = collected.ok();
+    let Err(doubt) = evidence.map_or(Err(Doubt::Late), |it| it.judge()) else {
         return Ok(());
     };
-    info!(id = job.id, upstream = %record.upstream.id, %doubt, after_ms = millis(started.elapsed()),
+    let listing = evidence.map(|it| it.listing);
+    info!(id = job.id, upstream = %record.upstream.id, %doubt,
+        probe = evidence.map(|it| tracing::field::display(it.probe)),
+        witness = evidence.map(|it| tracing::field::display(it.witness)),
+        listing = listing.map(tracing::field::display),
+        is_late = evidence.map(|it| it.is_late), after_ms = millis(started.elapsed()),
         "request: end of the response can't be confirmed");
     Err(match doubt {
         Doubt::Late => Code::StreamTimeout,
@@ -64,46 +174,61 @@
 }
 
 /// Returns whether an upstream is leaving. It may have stopped to accept connections before it
-/// completes its last responses.
+/// completes its last responses. One that isn't listed any more may have left without a word.
 pub fn is_leaving(state: &State, record: &Record) -> bool {
     let view = state.view();
     let listed = view.upstream(&record.upstream.id);
-    let is_draining = listed.is_some_and(|listed| listed.upstream.is_draining);
+    let is_draining = listed.is_none_or(|listed| listed.upstream.is_draining);
     is_draining || lock(&state.notices).is_leaving(&record.upstream)
 }
 
-async fn check(state: &State, record: &Record, is_own: bool) -> Result<(), Doubt> {
+async fn collect(state: &Arc<State>, record: &Record, watch: &Watch, is_own: bool) -> Evidence {
     let upstream = &record.upstream;
-    if is_own {
-        check_listed(state, record)?;
-    }
+    let end = Instant::now();
     let connection = state.pool.acquire(upstream.address, true).await;
     if is_own {
         reach::record(state, upstream, connection.as_ref().map(|_| ()));
     }
-    let connection = connection.map_err(|fault| match fault {
-        Fault::Connect(error) if error.kind() == ErrorKind::TimedOut => Doubt::Timeout,
-        Fault::Connect(_) | Fault::Unsent | Fault::Broken(_) => Doubt::Refused,
-    })?;
-    tokio::time::sleep(HOLD_TIME).await;
-    match connection.is_open() {
-        true => {
+    let is_leaving = is_own && is_leaving(state, record);
+    if connection.is_ok() || is_leaving {
+        tokio::time::sleep(HOLD_TIME).await;
+    }
+    let probe = match connection {
+        Ok(connection) if connection.is_open() => {
             state.release_connection(connection, upstream.slots);
-            Ok(())
+            Probe::Held
         }
-        false => Err(Doubt::Closed),
+        Ok(_) => Probe::Closed,
+        Err(Fault::Connect(error)) if error.kind() == ErrorKind::TimedOut => Probe::Timeout,
+        Err(Fault::Connect(_) | Fault::Unsent | Fault::Broken(_)) => Probe::Refused,
+    };
+    let witness = watch.witness.as_ref();
+    let witness = witness.map_or(witness::Status::Missing, |it| it.status(end, HOLD_TIME));
+    let now = boot::Instant::now();
+    let is_late = lock(&state.pulse).was_suspended(now, watch.sent);
+    let listing = match is_own {
+        true => listing(state, record),
+        false => Listing::Same,
+    };
+    Evidence {
+        probe,
+        witness,
+        is_late,
+        is_leaving,
+        listing,
     }
 }
 
-/// Another upstream may have the address now, or another process the identifier.
-fn check_listed(state: &State, record: &Record) -> Result<(), Doubt> {
+/// Returns what the platform lists in place of an upstream. An entry of an earlier start comes from a
+/// copy of the store that was restored, and says nothing of the process.
+fn listing(state: &State, record: &Record) -> Listing {
     let view = state.view();
     let before = &record.upstream;
-    let listed = view.upstream(&before.id).ok_or(Doubt::NotListed)?;
-    let is_same = listed.upstream.address == before.address
-        && listed.upstream.started_ms == before.started_ms;
-    match is_same {
-        true => Ok(()),
-        false => Err(Doubt::Replaced),
+    let entries = [view.upstream(&before.id), view.upstream_at(before.address)];
+    let mut entries = entries.iter().flatten().map(|it| &it.upstream);
+    match entries.clone().any(|it| it.is_process(before)) {
+        true => Listing::Same,
+        false if entries.any(|it| !it.is_earlier(before)) => Listing::Replaced,
+        false => Listing::Missing,
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,7 +22,8 @@
 //! 17. `queues`: requests that wait, locked within its methods
 //! 18. `bodies`: bodies of requests
 //! 19. `callers`, `hosts`: connections
-//! 20. `meter`: metrics, and the locks of the connection pool
+//! 20. `witnesses`, `pulse`: liveness of upstreams and of this host
+//! 21. `meter`: metrics, and the locks of the connection pool
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -59,10 +60,12 @@
 use crate::gateway::outage;
 use crate::gateway::peers;
 use crate::gateway::prefix_cache;
+use crate::gateway::pulse::Pulse;
 use crate::gateway::reach;
 use crate::gateway::retry_budget;
 use crate::gateway::source::Source;
 use crate::gateway::view::View;
+use crate::gateway::witness;
 use crate::lock::lock;
 use crate::mirror;
 use crate::options;
@@ -128,6 +131,10 @@
     pub meter: metrics::Meter,
     /// Connections to upstreams.
     pub pool: connection::Pool,
+    /// Connections that show whether upstreams are alive.
+    pub witnesses: Mutex<witness::Table>,
+    /// When tasks of this host ran.
+    pub pulse: Mutex<Pulse>,
     /// Memory for responses that are buffered.
     pub buffers: buffer::Budget,
     /// Bodies of requests.
@@ -233,6 +240,8 @@
             queues: Arc::default(),
             meter: metrics::Meter::new(),
             pool: connection::Pool::default(),
+            witnesses: Mutex::default(),
+            pulse: Mutex::new(Pulse::new(boot::Instant::now())),
             buffers: buffer::Budget::default(),
             bodies: Arc::default(),
             callers: Arc::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -341,9 +341,10 @@
             return Err(Code::UpstreamLost);
         };
         if framing::may_be_cut(exchange.framing, &exchange.parts.headers, &[]) {
-            let (record, is_own) = (exchange.record.clone(), exchange.lease.is_some());
-            let confirmed = liveness::confirm(&self.state, &self.job, &record, is_own).await;
-            if confirmed.is_err() && is_own && liveness::is_leaving(&self.state, &record) {
+            let (record, is_own) = (&exchange.record, exchange.lease.is_some());
+            let watch = &exchange.watch;
+            let confirmed = liveness::confirm(&self.state, &self.job, record, watch, is_own).await;
+            if confirmed.is_err() && is_own && liveness::is_leaving(&self.state, record) {
                 // One more upstream without an event left confirms it.
                 self.ended_after = self.last_event;
             }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -41,6 +41,19 @@
     pub expires_at: Option<boot::Instant>,
 }
 
+impl Upstream {
+    /// Returns whether another entry is of the same process.
+    pub fn is_process(&self, other: &Self) -> bool {
+        self.id == other.id && self.address == other.address && self.started_ms == other.started_ms
+    }
+
+    /// Returns whether this process is known to have started before that of another entry.
+    pub fn is_earlier(&self, other: &Self) -> bool {
+        let starts = self.started_ms.zip(other.started_ms);
+        starts.is_some_and(|(start, other)| start < other)
+    }
+}
+
 impl Record {
     /// Returns whether the upstream may get new requests.
     pub fn accepts_requests(&self, now: boot::Instant) -> bool {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,6 +65,12 @@
         all.find(|record| record.upstream.id == *id)
     }
 
+    /// Returns the record of an upstream by its address.
+    pub fn upstream_at(&self, address: SocketAddr) -> Option<&Arc<Record>> {
+        let mut all = self.upstreams.values();
+        all.find(|record| record.upstream.address == address)
+    }
+
     /// Returns whether an upstream may get new requests.
     pub fn is_usable(&self, now: boot::Instant, id: &ident::Upstream) -> bool {
         let record = self.upstream(id);
--- a/tests/gateway_path/host.rs
+++ b/tests/gateway_path/host.rs
@@ -356,7 +356,8 @@
             lock(&self.store.upstreams).insert(key.clone(), entry);
             changes.push(Event {
                 key,
-                value: Some(Bytes::new()),
+                // Differs from that of an earlier entry.
+                value: Some(Bytes::from(revision.to_string())),
                 revision,
             });
         }
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -25,6 +25,7 @@
 mod link;
 mod partition;
 mod partition_soak;
+mod process;
 mod readers;
 mod refusals;
 mod rest;
@@ -33,6 +34,7 @@
 mod store;
 mod truncation;
 mod unframed;
+mod unlisted;
 mod upstream;
 mod versions;
 
--- /dev/null
+++ b/tests/gateway_path/process.rs
@@ -0,0 +1,116 @@
+//! An upstream's process on a thread of its own, which goes on while the host of a test is suspended.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+/// Interval at which it looks for connections.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// What a process does with the first request that it receives.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Time until it responds.
+    pub delay: Duration,
+    /// The rest of the response, from the headers that frame it on.
+    pub text: &'static str,
+    /// Time until it closes the connection.
+    pub pause: Duration,
+    /// Whether it ends then, and with it all connections, and another process accepts connections at
+    /// its address.
+    pub is_replaced: bool,
+}
+
+/// A running process. Its thread ends when this is dropped.
+pub struct Process {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    has_arrived: Arc<AtomicBool>,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Process {
+    /// Starts a process.
+    pub fn start(plan: Plan) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let process = Self {
+            address: listener.local_addr().unwrap(),
+            has_arrived: Arc::default(),
+            is_over: Arc::default(),
+        };
+        let (has_arrived, is_over) = (process.has_arrived.clone(), process.is_over.clone());
+        thread::spawn(move || run(listener, plan, &has_arrived, &is_over));
+        process
+    }
+
+    /// Waits until a request has arrived.
+    pub async fn arrival(&self) {
+        while !self.has_arrived.load(Ordering::Relaxed) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+/// Serves connections. The response is written on a thread of its own, as others are accepted
+/// meanwhile.
+fn run(listener: TcpListener, plan: Plan, has_arrived: &Arc<AtomicBool>, is_over: &AtomicBool) {
+    let address = listener.local_addr().unwrap();
+    let has_ended = Arc::new(AtomicBool::new(false));
+    let mut first = None;
+    let mut others = Vec::new();
+    listener.set_nonblocking(true).unwrap();
+    while !is_over.load(Ordering::Relaxed) && !has_ended.load(Ordering::Relaxed) {
+        match listener.accept() {
+            Ok((stream, _)) if first.is_none() => {
+                let (has_arrived, has_ended) = (has_arrived.clone(), has_ended.clone());
+                first = Some(thread::spawn(move || {
+                    respond(stream, plan, &has_arrived).unwrap();
+                    has_ended.store(plan.is_replaced, Ordering::Relaxed);
+                }));
+            }
+            Ok((stream, _)) => others.push(stream),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => thread::sleep(POLL_INTERVAL),
+            Err(error) => panic!("{error}"),
+        }
+    }
+    drop((listener, others));
+    let _next = TcpListener::bind(address).unwrap();
+    while !is_over.load(Ordering::Relaxed) {
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+fn respond(mut stream: TcpStream, plan: Plan, has_arrived: &AtomicBool) -> io::Result<()> {
+    let mut buffer = [0; 4_096];
+    let mut request = String::new();
+    while !request.ends_with(crate::caller::BODY) {
+        let length = stream.read(&mut buffer)?;
+        request += std::str::from_utf8(&buffer[..length]).unwrap();
+    }
+    has_arrived.store(true, Ordering::Relaxed);
+    let attempt = request
+        .lines()
+        .find_map(|line| line.strip_prefix("x-attempt: "));
+    thread::sleep(plan.delay);
+    let head = format!(
+        "HTTP/1.1 200 X\r\nx-attempt: {}\r\nx-receipt: r\r\n",
+        attempt.unwrap()
+    );
+    stream.write_all((head + plan.text).as_bytes())?;
+    thread::sleep(plan.pause);
+    Ok(())
+}
--- a/tests/gateway_path/store.rs
+++ b/tests/gateway_path/store.rs
@@ -195,7 +195,7 @@
             slots: 6,
             is_draining: false,
             cold_left: Duration::ZERO,
-            started_ms: None,
+            started_ms: upstream.started_ms,
         };
         (format!("u/{}", upstream.id), entry)
     });
--- a/tests/gateway_path/unframed.rs
+++ b/tests/gateway_path/unframed.rs
@@ -24,11 +24,11 @@
 use crate::upstream::Upstream;
 
 /// Three events of a stream that ends with its connection.
-const THREE_EVENTS: &str = "connection: close\r\n\r\n\
+pub const THREE_EVENTS: &str = "connection: close\r\n\r\n\
     id: 0\ndata: event 0\n\nid: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n";
 
 /// The three events after them.
-const THREE_MORE: &str = "connection: close\r\n\r\n\
+pub const THREE_MORE: &str = "connection: close\r\n\r\n\
     id: 3\ndata: event 3\n\nid: 4\ndata: event 4\n\nid: 5\ndata: event 5\n\n";
 
 /// No events after the last one.
@@ -42,7 +42,7 @@
 };
 
 /// Leaks the steps of a test.
-fn script(steps: &[Step]) -> &'static [Step] {
+pub fn script(steps: &[Step]) -> &'static [Step] {
     Box::leak(steps.to_vec().into_boxed_slice())
 }
 
@@ -55,7 +55,7 @@
 
 /// Starts upstreams that together react to requests with one step after another, and then with the
 /// last one.
-async fn upstreams(ids: &[&'static str], steps: &'static [Step]) -> Vec<Upstream> {
+pub async fn upstreams(ids: &[&'static str], steps: &'static [Step]) -> Vec<Upstream> {
     let requests: &AtomicUsize = Box::leak(Box::default());
     let mut started = Vec::new();
     for id in ids {
@@ -155,28 +155,30 @@
 }
 
 /// Guards against an end that is confirmed by a process that didn't send the response: the address or
-/// the identifier of an upstream that ended may be used again.
+/// the identifier of an upstream that ended may be used again. What the platform lists doesn't tell
+/// whether the process lives on.
 #[rstest]
-#[case::still_listed("u1", true)]
-#[case::not_listed("u2", false)]
-#[case::listed_elsewhere("u1", false)]
+#[case::listed_elsewhere("u1")]
+#[case::not_listed("u2")]
 #[tokio::test]
 async fn the_end_of_a_stream_is_confirmed_by_its_own_upstream_only(
     #[case] listed: &'static str,
-    #[case] is_same: bool,
+    #[values(false, true)] is_replaced: bool,
 ) {
-    let one = Upstream::start("u1", |_| Step::CloseLate(THREE_EVENTS)).await;
+    let step = match is_replaced {
+        true => Step::ReplaceLate(THREE_EVENTS),
+        false => Step::CloseLate(THREE_EVENTS),
+    };
+    let one = Upstream::start("u1", move |_| step).await;
     let two = Upstream::start(listed, |_| raw(NO_MORE)).await;
     let host = Host::start(Kind::Stream, &[&one]).await;
     let change = async {
         first_arrival(&[&one]).await;
-        if !is_same {
-            host.replace_upstreams(&[&two]).await;
-        }
+        host.replace_upstreams(&[&two]).await;
     };
     let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), change);
     assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
-    assert_eq!(reply.is_complete, is_same);
+    assert_eq!(reply.is_complete, !is_replaced);
 }
 
 /// Guards against a fix that makes sound responses without framing run twice, or wait for long.
--- /dev/null
+++ b/tests/gateway_path/unlisted.rs
@@ -0,0 +1,263 @@
+//! Responses that end with their connection, of an upstream that the platform doesn't list any more,
+//! or that a host reads late.
+//!
+//! An upstream may lose its entry and serve on, so that its last responses are sound.
+
+use std::time::Duration;
+
+use masticmoor::gateway::liveness;
+use masticmoor::gateway::table::Kind;
+use masticmoor::lock::lock;
+use masticmoor::outcome::Outcome;
+use rstest::rstest;
+
+use crate::caller;
+use crate::caller::Reply;
+use crate::first_arrival;
+use crate::host::Host;
+use crate::link::Path;
+use crate::outcome;
+use crate::process::Plan;
+use crate::process::Process;
+use crate::runs;
+use crate::unframed::THREE_EVENTS;
+use crate::unframed::THREE_MORE;
+use crate::unframed::script;
+use crate::unframed::upstreams;
+use crate::upstream;
+use crate::upstream::Step;
+use crate::upstream::Upstream;
+
+/// A plain response.
+const SEAT: &str = "connection: close\r\n\r\nseat 7";
+
+/// For which a host is suspended, longer than an upstream takes to start again.
+const SUSPENSION: Duration = Duration::from_millis(900);
+
+/// Within which a host that isn't suspended reads what has arrived.
+const READ_TIME: Duration = Duration::from_millis(150);
+
+/// Starts a host and sends it a request, whose upstream loses its entry while it runs.
+async fn send_and_unlist(kind: Kind, one: &Upstream) -> (Host, Reply) {
+    let host = Host::start(kind, &[one]).await;
+    let unlist = async {
+        first_arrival(&[one]).await;
+        host.replace_upstreams(&[]).await;
+    };
+    let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), unlist);
+    (host, reply)
+}
+
+/// Guards against sound streams that are cut at an upstream that leaves by removing its entry (LOST).
+#[rstest]
+#[tokio::test]
+async fn a_stream_of_an_upstream_that_is_not_listed_any_more_is_complete(
+    #[values(Kind::Stream, Kind::ResumableStream)] kind: Kind,
+) {
+    let one = Upstream::start("u1", |_| Step::CloseLate(THREE_EVENTS)).await;
+    let (_host, reply) = send_and_unlist(kind, &one).await;
+    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
+    assert!(reply.is_complete);
+    assert_eq!(runs(&[&one]), 1);
+}
+
+/// Guards against the same cut while the host is stopped, or can't reach the store.
+#[rstest]
+#[tokio::test]
+async fn a_stream_of_an_unlisted_upstream_is_complete_while_its_host_stops(
+    #[values(false, true)] is_store_silent: bool,
+) {
+    let one = Upstream::start("u1", |_| Step::CloseLate(THREE_EVENTS)).await;
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let stop = async {
+        first_arrival(&[&one]).await;
+        host.replace_upstreams(&[]).await;
+        if is_store_silent {
+            host.silence_store();
+        }
+        host.drain().await
+    };
+    let (reply, cut) = tokio::join!(caller::send(host.caller, "a1", &[]), stop);
+    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
+    assert!(reply.is_complete);
+    assert_eq!(cut, 0);
+}
+
+/// Guards against a purchase that has succeeded and is answered as one whose outcome is unknown.
+#[rstest]
+#[case::body_before_the_end(Step::CloseLate(SEAT))]
+#[case::all_at_once(Step::RespondAndCloseLate(SEAT))]
+#[tokio::test]
+async fn a_plain_response_of_an_unlisted_upstream_is_returned(#[case] step: Step) {
+    let one = Upstream::start("u1", move |_| step).await;
+    let (_host, reply) = send_and_unlist(Kind::NonIdempotent, &one).await;
+    assert_eq!((reply.status, &*reply.text()), (200, "seat 7"));
+    assert_eq!(runs(&[&one]), 1);
+}
+
+/// Guards against the same cut at the second of two hosts, or at the upstream that resumes a stream.
+#[tokio::test]
+async fn a_stream_of_an_unlisted_upstream_through_another_host_is_complete() {
+    let one = Upstream::start("u1", |_| Step::CloseLate(THREE_EVENTS)).await;
+    let (fleet, links) = Host::start_linked_fleet(2, Kind::Stream, &[&one]).await;
+    links[0].set(Path::Reset);
+    let unlist = async {
+        first_arrival(&[&one]).await;
+        for host in &fleet {
+            host.replace_upstreams(&[]).await;
+        }
+    };
+    let (reply, ()) = tokio::join!(caller::send(fleet[0].caller, "a1", &[]), unlist);
+    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
+    assert!(reply.is_complete);
+    assert_eq!(runs(&[&one]), 1);
+}
+
+#[tokio::test]
+async fn a_stream_that_an_unlisted_upstream_resumes_is_complete() {
+    let steps = script(&[
+        Step::CrashForGood(THREE_EVENTS),
+        Step::CloseLate(THREE_MORE),
+    ]);
+    let started = upstreams(&["u1", "u2"], steps).await;
+    let all: Vec<_> = started.iter().collect();
+    let host = Host::start(Kind::ResumableStream, &all).await;
+    let unlist = async {
+        while runs(&all) < 2 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        host.replace_upstreams(&[]).await;
+    };
+    let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), unlist);
+    assert_eq!(reply.body, upstream::events(0, 6), "{}", reply.text());
+    assert!(reply.is_complete);
+    assert_eq!(runs(&all), 2);
+}
+
+/// Guards against an end that is believed because nothing is listed that speaks against it.
+#[rstest]
+#[case::it_ends(Step::CrashLate(THREE_EVENTS))]
+#[case::another_process_accepts(Step::ReplaceLate(THREE_EVENTS))]
+#[tokio::test]
+async fn a_stream_whose_unlisted_upstream_crashes_does_not_look_complete(#[case] step: Step) {
+    let one = Upstream::start("u1", move |_| step).await;
+    let (_host, reply) = send_and_unlist(Kind::Stream, &one).await;
+    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
+    assert!(!reply.is_complete);
+}
+
+/// Guards against a copy of the store that was restored and lists an earlier process: it says nothing
+/// of the one that responds.
+#[rstest]
+#[case::earlier(100, 200)]
+#[case::later(300, 502)]
+#[tokio::test]
+async fn a_plain_response_is_returned_unless_a_later_process_is_listed(
+    #[case] started_ms: u64,
+    #[case] expected: u16,
+) {
+    let one = Upstream::start("u1", |_| Step::RespondAndCloseLate(SEAT)).await;
+    let one = one.with_start(200);
+    let host = Host::start(Kind::NonIdempotent, &[&one]).await;
+    let listed = Upstream::listed_at("u9", one.address).with_start(started_ms);
+    let change = async {
+        first_arrival(&[&one]).await;
+        host.replace_upstreams(&[&listed]).await;
+    };
+    let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), change);
+    assert_eq!(reply.status, expected, "{}", reply.text());
+}
+
+/// An upstream that left without a word may stop to accept connections before its last streams end,
+/// which another one then confirms.
+#[tokio::test]
+async fn an_upstream_that_is_not_listed_any_more_counts_as_leaving() {
+    let one = Upstream::start("u1", |_| Step::Respond(200, "seat 7")).await;
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let record = host.state.view().upstream(&"u1".into()).cloned().unwrap();
+    assert!(!liveness::is_leaving(&host.state, &record));
+    host.replace_upstreams(&[]).await;
+    assert!(liveness::is_leaving(&host.state, &record));
+}
+
+/// Sends a request, suspends the host `delay` after its arrival, and returns the reply.
+async fn send_and_suspend(kind: Kind, plan: Plan, delay: Duration) -> Reply {
+    let process = Process::start(plan);
+    let one = Upstream::listed_at("u1", process.address).with_start(100);
+    let host = Host::start(kind, &[&one]).await;
+    let suspend = async {
+        process.arrival().await;
+        host.replace_upstreams(&[]).await;
+        tokio::time::sleep(delay).await;
+        // Stops the tasks of the host, not the upstream.
+        std::thread::sleep(SUSPENSION);
+    };
+    let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), suspend);
+    reply
+}
+
+/// Guards against the end of a stream that a host reads after a suspension, when another process
+/// accepts connections at the address (ORDER).
+#[tokio::test]
+async fn a_stream_whose_upstream_restarts_while_its_host_is_suspended_does_not_look_complete() {
+    let plan = Plan {
+        delay: Duration::ZERO,
+        text: THREE_EVENTS,
+        pause: SUSPENSION / 2,
+        is_replaced: true,
+    };
+    let reply = send_and_suspend(Kind::Stream, plan, READ_TIME).await;
+    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
+    assert!(!reply.is_complete);
+}
+
+/// Guards against the same where the whole response arrives during the suspension.
+#[tokio::test]
+async fn a_plain_response_whose_upstream_restarts_while_its_host_is_suspended_is_not_returned() {
+    let plan = Plan {
+        delay: SUSPENSION / 3,
+        text: SEAT,
+        pause: Duration::ZERO,
+        is_replaced: true,
+    };
+    let reply = send_and_suspend(Kind::NonIdempotent, plan, Duration::ZERO).await;
+    assert_eq!(reply.status, 502, "{}", reply.text());
+    assert_eq!(outcome(&reply), Outcome::Unknown);
+}
+
+/// Guards against a mend that cuts each sound stream that a suspended host reads late.
+#[tokio::test]
+async fn a_sound_stream_that_ends_while_its_host_is_suspended_is_complete() {
+    let plan = Plan {
+        delay: Duration::ZERO,
+        text: THREE_EVENTS,
+        pause: SUSPENSION / 2,
+        is_replaced: false,
+    };
+    let reply = send_and_suspend(Kind::Stream, plan, READ_TIME).await;
+    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
+    assert!(reply.is_complete);
+}
+
+/// Guards against a connection for each stream beside the stream's own: an upstream resets those
+/// beyond its limit.
+#[tokio::test]
+async fn streams_of_an_upstream_share_one_connection_beside_them() {
+    let one = Upstream::start("u1", |_| Step::CloseLate(THREE_EVENTS)).await;
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let streams = (0..4).map(|number| {
+        let attempt = format!("a{number}");
+        async move { caller::send(host.caller, &attempt, &[]).await }
+    });
+    let open = async {
+        while runs(&[&one]) < 4 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(READ_TIME).await;
+        one.connections()
+    };
+    let (replies, open) = tokio::join!(futures_util::future::join_all(streams), open);
+    assert!(replies.iter().all(|it| it.is_complete));
+    assert_eq!(open, 5);
+    assert!(lock(&host.state.witnesses).is_empty());
+}
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -62,6 +62,13 @@
     /// Sends some bytes after the status line and the identifying headers, and closes the connection
     /// after a delay.
     CloseLate(&'static str),
+    /// Sends such bytes after a delay, and closes the connection at once.
+    RespondAndCloseLate(&'static str),
+    /// Sends such bytes as [`Self::CrashForGood`] does, and ends its process after a delay.
+    CrashLate(&'static str),
+    /// Sends such bytes, and ends its process after a delay. The next one accepts connections at
+    /// once.
+    ReplaceLate(&'static str),
     /// Never responds.
     Hang,
     /// Sends a stream of events.
@@ -139,6 +146,10 @@
     crashed: Notify,
     /// Whether it doesn't start again after a crash.
     is_lost: AtomicBool,
+    /// Number of open connections.
+    connections: AtomicUsize,
+    /// Whether it starts again at once.
+    is_replaced: AtomicBool,
     /// Whether the gateway reset a connection.
     was_reset: AtomicBool,
     /// Header lines that all responses have from now on.
@@ -153,6 +164,8 @@
     pub address: SocketAddr,
     /// Version of its software.
     pub version: &'static str,
+    /// Start of its process in milliseconds, if it is listed.
+    pub started_ms: Option<u64>,
     shared: Arc<Shared>,
     /// A socket that is bound but doesn't listen.
     reserved: Option<TcpSocket>,
@@ -194,7 +207,9 @@
                     let _reserved = reserve(address);
                     return std::future::pending().await;
                 }
-                tokio::time::sleep(RESTART_DELAY).await;
+                if !shared.is_replaced.load(Ordering::Relaxed) {
+                    tokio::time::sleep(RESTART_DELAY).await;
+                }
                 listener = TcpListener::bind(address).await.unwrap();
             }
         });
@@ -206,6 +221,11 @@
         self.shared.crashes.load(Ordering::Relaxed)
     }
 
+    /// Returns how many connections are open.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
     /// Returns how many bytes of endless responses were sent.
     pub fn endless_bytes(&self) -> usize {
         self.shared.endless_bytes.load(Ordering::Relaxed)
@@ -221,6 +241,17 @@
         Self { version, ..self }
     }
 
+    /// Sets the start of its process.
+    pub fn with_start(self, started_ms: u64) -> Self {
+        let started_ms = Some(started_ms);
+        Self { started_ms, ..self }
+    }
+
+    /// Returns an upstream that is listed at an address that another process serves.
+    pub fn listed_at(id: &'static str, address: SocketAddr) -> Self {
+        Self::at(id, address)
+    }
+
     /// Returns an upstream that refuses connections. It keeps its port, which another
     /// test's upstream could get otherwise.
     pub async fn refusing(id: &'static str) -> Self {
@@ -237,6 +268,7 @@
             id: self.id,
             address,
             version: self.version,
+            started_ms: self.started_ms,
             shared: self.shared.clone(),
             reserved: None,
         }
@@ -247,6 +279,7 @@
             id,
             address,
             version: "v1",
+            started_ms: None,
             reserved: None,
             shared: Arc::new(Shared {
                 requests: Mutex::default(),
@@ -257,6 +290,8 @@
                 endless_bytes: AtomicUsize::new(0),
                 crashed: Notify::new(),
                 is_lost: AtomicBool::new(false),
+                connections: AtomicUsize::new(0),
+                is_replaced: AtomicBool::new(false),
                 was_reset: AtomicBool::new(false),
                 notice: Mutex::default(),
             }),
@@ -323,7 +358,9 @@
         };
         let shared = shared.clone();
         connections.spawn(async move {
+            shared.connections.fetch_add(1, Ordering::Relaxed);
             serve(id, stream, &shared, step).await;
+            shared.connections.fetch_sub(1, Ordering::Relaxed);
             shared.closed.notify_one();
         });
     }
@@ -399,10 +436,21 @@
                 tokio::time::sleep(SLOW_DELAY).await;
                 return;
             }
-            Step::CrashForGood(text) => {
+            Step::RespondAndCloseLate(text) => {
+                tokio::time::sleep(SLOW_DELAY).await;
                 let text = format!("HTTP/1.1 200 X\r\n{echo}{text}");
                 let _sent = stream.write_all(text.as_bytes()).await;
-                shared.is_lost.store(true, Ordering::Relaxed);
+                return;
+            }
+            Step::CrashForGood(text) | Step::CrashLate(text) | Step::ReplaceLate(text) => {
+                let text = format!("HTTP/1.1 200 X\r\n{echo}{text}");
+                let _sent = stream.write_all(text.as_bytes()).await;
+                if !matches!(step, Step::CrashForGood(_)) {
+                    tokio::time::sleep(SLOW_DELAY).await;
+                }
+                let is_replaced = matches!(step, Step::ReplaceLate(_));
+                shared.is_lost.store(!is_replaced, Ordering::Relaxed);
+                shared.is_replaced.store(is_replaced, Ordering::Relaxed);
                 shared.crashed.notify_one();
                 // The connection ends with the process.
                 std::future::pending::<()>().await;
