Read the store before a host that was suspended believes the end of a response

The host was stopped while the upstream crashed and started again under its name.

Cause: the host compared the process that accepted its connection with a view from before it was stopped, and believed the end.

Change: a host that was suspended since it sent the request, and has no open connection of before to the process, reads the store first (one read for all that wait), and doubts the end if it can't.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -25,6 +25,7 @@
 use crate::gateway::connection::Fault;
 use crate::gateway::job::Job;
 use crate::gateway::reach;
+use crate::gateway::reader;
 use crate::gateway::state::State;
 use crate::gateway::upstream::Record;
 use crate::gateway::witness;
@@ -51,6 +52,8 @@
     NotListed,
     /// Another process has the upstream's address or identifier.
     Replaced,
+    /// The host was suspended, and can't tell whether its copy of the store is current.
+    Outdated,
     /// The deadline of the request has passed.
     Late,
 }
@@ -117,8 +120,8 @@
     pub is_late: bool,
     /// Whether it is known to leave, so that it may have stopped to accept connections.
     pub is_leaving: bool,
-    /// What the platform lists.
-    pub listing: Listing,
+    /// What the platform lists; of a host that is late, `None` if its copy may be outdated.
+    pub listing: Option<Listing>,
 }
 
 impl Evidence {
@@ -133,11 +136,12 @@
             (Probe::Refused, _) if has_witness && self.is_leaving => Ok(()),
             (Probe::Refused, _) => Err(Doubt::Refused),
             (Probe::Held | Probe::Closed, _) if has_witness => Ok(()),
-            (_, Listing::Replaced) => Err(Doubt::Replaced),
+            (_, Some(Listing::Replaced)) => Err(Doubt::Replaced),
             (Probe::Closed, _) => Err(Doubt::Closed),
-            (Probe::Held, Listing::Same) => Ok(()),
-            (Probe::Held, Listing::Missing) if is_prompt => Ok(()),
-            (Probe::Held, Listing::Missing) => Err(Doubt::NotListed),
+            (Probe::Held, Some(Listing::Same)) => Ok(()),
+            (Probe::Held, Some(Listing::Missing)) if is_prompt => Ok(()),
+            (Probe::Held, Some(Listing::Missing)) => Err(Doubt::NotListed),
+            (Probe::Held, None) => Err(Doubt::Outdated),
         }
     }
 }
@@ -157,7 +161,7 @@
     let Err(doubt) = evidence.map_or(Err(Doubt::Late), |it| it.judge()) else {
         return Ok(());
     };
-    let listing = evidence.map(|it| it.listing);
+    let listing = evidence.and_then(|it| it.listing);
     info!(id = job.id, upstream = %record.upstream.id, %doubt,
         probe = evidence.map(|it| tracing::field::display(it.probe)),
         witness = evidence.map(|it| tracing::field::display(it.witness)),
@@ -169,7 +173,7 @@
         Doubt::Refused | Doubt::Replaced => Code::AnswerCut,
         // They accuse the request of no crash. An upstream at its limit of connections closes new
         // ones at once, too.
-        Doubt::Closed | Doubt::Timeout | Doubt::NotListed => Code::UpstreamFailed,
+        Doubt::Closed | Doubt::Timeout | Doubt::NotListed | Doubt::Outdated => Code::UpstreamFailed,
     })
 }
 
@@ -206,9 +210,12 @@
     let witness = witness.map_or(witness::Status::Missing, |it| it.status(end, HOLD_TIME));
     let now = boot::Instant::now();
     let is_late = lock(&state.pulse).was_suspended(now, watch.sent);
+    // The witness goes before the platform's list, and a refused connection needs neither.
+    let needs_listing = probe == Probe::Held && witness != witness::Status::Open;
     let listing = match is_own {
-        true => listing(state, record),
-        false => Listing::Same,
+        true if is_late && needs_listing && !reader::confirm(state, now).await => None,
+        true => Some(listing(state, record)),
+        false => Some(Listing::Same),
     };
     Evidence {
         probe,
--- a/tests/gateway_liveness.rs
+++ b/tests/gateway_liveness.rs
@@ -13,11 +13,11 @@
 use masticmoor::gateway::witness::Status;
 use rstest::rstest;
 
-const SAME: Listing = Listing::Same;
-const REPLACED: Listing = Listing::Replaced;
-const MISSING: Listing = Listing::Missing;
+const SAME: Option<Listing> = Some(Listing::Same);
+const REPLACED: Option<Listing> = Some(Listing::Replaced);
+const MISSING: Option<Listing> = Some(Listing::Missing);
 
-fn evidence(probe: Probe, witness: Status, listing: Listing) -> Evidence {
+fn evidence(probe: Probe, witness: Status, listing: Option<Listing>) -> Evidence {
     Evidence {
         probe,
         witness,
@@ -31,7 +31,7 @@
 #[rstest]
 fn an_open_witness_goes_before_what_the_platform_lists(
     #[values(Probe::Held, Probe::Closed)] probe: Probe,
-    #[values(SAME, REPLACED, MISSING)] listing: Listing,
+    #[values(SAME, REPLACED, MISSING, None)] listing: Option<Listing>,
     #[values(false, true)] is_late: bool,
 ) {
     let evidence = Evidence {
@@ -50,10 +50,11 @@
 #[case::started_again(Probe::Held, Status::Closed, REPLACED, Doubt::Replaced)]
 #[case::address_used_again(Probe::Held, Status::Missing, REPLACED, Doubt::Replaced)]
 #[case::not_listed_and_ended(Probe::Held, Status::Closed, MISSING, Doubt::NotListed)]
+#[case::old_copy(Probe::Held, Status::Closed, None, Doubt::Outdated)]
 fn the_end_of_another_process_is_not_believed(
     #[case] probe: Probe,
     #[case] witness: Status,
-    #[case] listing: Listing,
+    #[case] listing: Option<Listing>,
     #[case] expected: Doubt,
 ) {
     assert_eq!(evidence(probe, witness, listing).judge(), Err(expected));
--- a/tests/gateway_path/unlisted.rs
+++ b/tests/gateway_path/unlisted.rs
@@ -180,14 +180,27 @@
     assert!(liveness::is_leaving(&host.state, &record));
 }
 
+/// What the platform lists after an upstream has started again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Listed {
+    /// The new process, which the host hasn't read yet.
+    Later,
+    /// Nothing.
+    Nothing,
+}
+
 /// Sends a request, suspends the host `delay` after its arrival, and returns the reply.
-async fn send_and_suspend(kind: Kind, plan: Plan, delay: Duration) -> Reply {
+async fn send_and_suspend(kind: Kind, plan: Plan, listed: Listed, delay: Duration) -> Reply {
     let process = Process::start(plan);
     let one = Upstream::listed_at("u1", process.address).with_start(100);
+    let again = Upstream::listed_at("u1", process.address).with_start(200);
     let host = Host::start(kind, &[&one]).await;
     let suspend = async {
         process.arrival().await;
-        host.replace_upstreams(&[]).await;
+        match listed {
+            Listed::Later => host.add_upstream_unseen(&again).await,
+            Listed::Nothing => host.replace_upstreams(&[]).await,
+        }
         tokio::time::sleep(delay).await;
         // Stops the tasks of the host, not the upstream.
         std::thread::sleep(SUSPENSION);
@@ -198,29 +211,35 @@
 
 /// Guards against the end of a stream that a host reads after a suspension, when another process
 /// accepts connections at the address (ORDER).
+#[rstest]
 #[tokio::test]
-async fn a_stream_whose_upstream_restarts_while_its_host_is_suspended_does_not_look_complete() {
+async fn a_stream_whose_upstream_restarts_while_its_host_is_suspended_does_not_look_complete(
+    #[values(Listed::Later, Listed::Nothing)] listed: Listed,
+) {
     let plan = Plan {
         delay: Duration::ZERO,
         text: THREE_EVENTS,
         pause: SUSPENSION / 2,
         is_replaced: true,
     };
-    let reply = send_and_suspend(Kind::Stream, plan, READ_TIME).await;
+    let reply = send_and_suspend(Kind::Stream, plan, listed, READ_TIME).await;
     assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
     assert!(!reply.is_complete);
 }
 
 /// Guards against the same where the whole response arrives during the suspension.
+#[rstest]
 #[tokio::test]
-async fn a_plain_response_whose_upstream_restarts_while_its_host_is_suspended_is_not_returned() {
+async fn a_plain_response_whose_upstream_restarts_while_its_host_is_suspended_is_not_returned(
+    #[values(Listed::Later, Listed::Nothing)] listed: Listed,
+) {
     let plan = Plan {
         delay: SUSPENSION / 3,
         text: SEAT,
         pause: Duration::ZERO,
         is_replaced: true,
     };
-    let reply = send_and_suspend(Kind::NonIdempotent, plan, Duration::ZERO).await;
+    let reply = send_and_suspend(Kind::NonIdempotent, plan, listed, Duration::ZERO).await;
     assert_eq!(reply.status, 502, "{}", reply.text());
     assert_eq!(outcome(&reply), Outcome::Unknown);
 }
@@ -234,7 +253,7 @@
         pause: SUSPENSION / 2,
         is_replaced: false,
     };
-    let reply = send_and_suspend(Kind::Stream, plan, READ_TIME).await;
+    let reply = send_and_suspend(Kind::Stream, plan, Listed::Nothing, READ_TIME).await;
     assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
     assert!(reply.is_complete);
 }
