Answer 502 for a request that an upstream fails with the status of a rejection

Cause: a response without the mark of a rejection counted as one of a request that ran, but its status went to the caller, whatever it promises. Ruled out: that a host sent a purchase twice.

Change: 408, 421, 429 and 503 of an upstream, unmarked, become a refusal with an unknown outcome and without the receipt, for all kinds of requests, also where another host (of an earlier build, too) passes them on. Requests that may be repeated are tried at another upstream first, after 408 and 429, too, and the upstream's health counts a failure. A refusal of our own takes its status from outcome and code, so that an unknown outcome never says "not run".

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
@@ -44,6 +45,7 @@
 use crate::log::millis;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
+use crate::outcome::promises_not_run;
 
 /// Serves the request of a caller, or one that another host hands on. Failures are returned as
 /// refusals.
@@ -111,8 +113,8 @@
 
 /// Serves a request whose response is forwarded once it is complete.
 ///
-/// The response of an upstream that reports a server error is kept while another
-/// upstream is tried, and is returned if that one gives no response.
+/// The response of an upstream that fails the request is kept while another upstream is
+/// tried, and is returned if that one gives no response.
 async fn serve_buffered(state: &Arc<State>, job: &Job) -> Result<Response<Payload>, Refusal> {
     let mut history = History::new(job, None);
     let mut next = None;
@@ -120,7 +122,7 @@
     loop {
         let result = send_until_complete(state, job, &mut history, next.take()).await;
         let (parts, body) = match (result, failure.take()) {
-            (Ok((upstream, parts, body)), None) if parts.status.is_server_error() => {
+            (Ok((upstream, parts, body)), None) if is_failure(parts.status) => {
                 if let Some(target) = reserve(state, job, &history, &upstream) {
                     info!(id = job.id, %upstream, status = parts.status.as_u16(),
                         "request: failed, trying another upstream");
@@ -135,10 +137,15 @@
             (Err(_), Some(failure)) => failure,
             (Err(refusal), None) => return Err(refusal),
         };
-        return Ok(complete_response(state, job, &history, parts, body));
+        return complete_response(state, job, &history, parts, body);
     }
 }
 
+/// Returns whether an upstream failed a request that it may have run, by the status of its response.
+pub fn is_failure(status: StatusCode) -> bool {
+    status.is_server_error() || promises_not_run(status)
+}
+
 /// Returns the first response that was received completely, and its upstream.
 async fn send_until_complete(
     state: &Arc<State>,
@@ -157,20 +164,32 @@
 }
 
 /// Records a complete response of an upstream and returns it for the caller.
+///
+/// Fails if its status promises that the request has not run: an upstream that rejects a request
+/// says so otherwise, so the outcome of this one is unknown.
 pub fn complete_response(
     state: &State,
     job: &Job,
     history: &History,
     parts: Parts,
     body: Bytes,
-) -> Response<Payload> {
+) -> Result<Response<Payload>, Refusal> {
+    if promises_not_run(parts.status) {
+        info!(
+            id = job.id,
+            status = parts.status.as_u16(),
+            sends = history.sends,
+            "request: failed with the status of a rejection"
+        );
+        return Err(Refusal::unknown(Code::UpstreamFailed));
+    }
     let elapsed = job.arrived.elapsed();
     state.meter.answered(job.route.kind, elapsed);
     let framing = history.framing.map(tracing::field::display);
     info!(target: ROUTINE, id = job.id, kind = %job.route.kind, status = parts.status.as_u16(), framing,
         sends = history.sends, after_ms = millis(elapsed), "request: answered");
     let body = Full::from(body).map_err(|never| match never {});
-    response_with_body(&parts, Payload::new(body))
+    Ok(response_with_body(&parts, Payload::new(body)))
 }
 
 /// Returns a response for the caller with the status and end-to-end headers of an
@@ -225,7 +244,7 @@
     }
     let now = Instant::now();
     state.release_connection(connection, record.upstream.slots);
-    let observation = match parts.status.is_server_error() {
+    let observation = match is_failure(parts.status) {
         true => Observation::Failed,
         false => Observation::Answered,
     };
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -21,7 +21,7 @@
 pub fn response(refusal: &Refusal, attempt: Option<(&HeaderName, &str)>) -> Response<Payload> {
     let body = Full::from(Problem::new(refusal).body()).map_err(|never| match never {});
     let mut response = Response::new(Payload::new(body));
-    *response.status_mut() = refusal.code.status();
+    *response.status_mut() = refusal.status();
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE));
     if let Some(wait_ms) = refusal.retry_after_ms {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -124,14 +124,12 @@
                 continue;
             }
         };
-        let target = match parts.status.is_server_error() {
+        let target = match forward::is_failure(parts.status) {
             true => attempt::reserve(state, &job, &history, &upstream),
             false => None,
         };
         let Some(target) = target else {
-            return Ok(forward::complete_response(
-                state, &job, &history, parts, body,
-            ));
+            return forward::complete_response(state, &job, &history, parts, body);
         };
         info!(id = job.id, %upstream, status = parts.status.as_u16(),
             "request: failed, trying another upstream");
@@ -497,8 +495,9 @@
         info!(id = self.job.id, %upstream, status = status.as_u16(), events = self.history.events,
             "request: response can't continue the stream");
         let observation = match status {
-            _ if exchange.lease.is_none() || status.is_client_error() => None,
-            _ if status.is_server_error() => Some(Observation::Failed),
+            _ if exchange.lease.is_none() => None,
+            _ if forward::is_failure(status) => Some(Observation::Failed),
+            _ if status.is_client_error() => None,
             _ => Some(Observation::Lost),
         };
         if let Some(observation) = observation {
--- a/tests/gateway_path/upstream.rs
+++ b/tests/gateway_path/upstream.rs
@@ -49,6 +49,8 @@
     Foreign,
     /// Rejects the request as if it had no free slot, and states that it did not run.
     Reject,
+    /// Rejects the request with a status, and states that it did not run.
+    RejectWith(u16),
     /// Rejects the request as if it were for another upstream.
     Misdirected,
     /// Runs the request, but writes a refusal with a status that doesn't name it.
@@ -407,6 +409,9 @@
             }
             Step::Foreign => complete(200, "x-attempt: other\r\nx-receipt: r\r\n", "not yours"),
             Step::Reject => complete(503, &format!("{echo}x-not-executed: 1\r\n"), "full"),
+            Step::RejectWith(status) => {
+                complete(status, &format!("{echo}x-not-executed: 1\r\n"), "")
+            }
             Step::Misdirected => complete(421, &format!("x-attempt: {attempt}\r\n{notice}"), ""),
             Step::EarlierRefusal(421) => complete(421, "", ""),
             Step::EarlierRefusal(status) => complete(status, "x-not-executed: 1\r\n", "full"),
