Take a response whose status is none for a failure of the upstream

Here 000, 099, and what isn't three digits end as 502 already, as the HTTP client refuses them; 101 and 600 to 999 reached the caller, with the receipt, from an upstream and from another host, and with the mark of a rejection as "not run".

Change: a status that isn't one from 200 to 599 leaves the outcome unknown, whatever the headers say. Requests that may be repeated are tried elsewhere. The check stands where the gateway reads the responses of upstreams and of other hosts, and in the product's own protocol, where the home reads an upstream's response and where hosts read what a home reports.

--- a/src/entry/at_most_once.rs
+++ b/src/entry/at_most_once.rs
@@ -14,6 +14,7 @@
 use crate::entry::attempt;
 use crate::entry::header;
 use crate::entry::source::Source;
+use crate::framing;
 use crate::ident;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
@@ -167,7 +168,9 @@
     };
     let mut rest = Source::Remote(response);
     match timeout_at(deadline, rest.next()).await {
-        Ok(Frame::Head(head)) => collect(head, rest, deadline).await.map(Arc::new),
+        Ok(Frame::Head(head)) if framing::is_final(head.status) => {
+            collect(head, rest, deadline).await.map(Arc::new)
+        }
         Ok(Frame::Refused(refusal)) if refusal.code == Code::HomeLost => Err(lost()),
         Ok(Frame::Refused(refusal)) => Err(refusal),
         Ok(_) | Err(_) => Err(lost()),
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::entry::source::Source;
+use crate::framing;
 use crate::home;
 use crate::ident;
 use crate::lock::lock;
@@ -233,7 +234,7 @@
             target::find(self.state, plan, upstream).ok_or(Refusal::not_run(Code::NotHome))?;
         let mut rest = self.hand_over(&target, round).await?;
         match rest.next().await {
-            Frame::Head(head) => Ok(Response {
+            Frame::Head(head) if framing::is_final(head.status) => Ok(Response {
                 upstream: target.upstream,
                 head,
                 rest,
--- a/src/framing.rs
+++ b/src/framing.rs
@@ -33,6 +33,12 @@
     }
 }
 
+/// Returns whether a status is that of a final response. The HTTP client accepts all numbers from 100
+/// to 999, of which callers understand those up to 599.
+pub fn is_final(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Kind of content of a body, by its media type.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Content {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use tracing::warn;
 
 use crate::boot;
+use crate::framing;
 use crate::framing::Framing;
 use crate::gateway::accept;
 use crate::gateway::accept::RETRY_AFTER_NO_UPSTREAM;
@@ -790,6 +791,11 @@
         Err(_) => return Err(Loss::Unknown(Code::FirstByteTimeout)),
     };
     let (mut parts, body) = response.into_parts();
+    if !framing::is_final(parts.status.as_u16()) {
+        info!(id = job.id, upstream = %upstream.id, status = parts.status.as_u16(),
+            "request: response without a valid status");
+        return Err(Loss::Unknown(Code::UpstreamFailed));
+    }
     if job.handoff.is_some() {
         handoff::mark(&mut parts, upstream);
     }
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -24,6 +24,7 @@
 
 use crate::boot;
 use crate::entry::problem::Problem;
+use crate::framing;
 use crate::framing::Framing;
 use crate::gateway::accept::header_text;
 use crate::gateway::attempt;
@@ -252,6 +253,11 @@
         Err(_) => return Err(Loss::Unknown(Code::FirstByteTimeout)),
     };
     let (mut parts, body) = response.into_parts();
+    if !framing::is_final(parts.status.as_u16()) {
+        info!(id = job.id, %host, status = parts.status.as_u16(),
+            "request: response without a valid status");
+        return Err(Loss::Unknown(Code::HostLost));
+    }
     let echoed = header_text(&parts.headers, &state.names.attempt);
     if echoed.unwrap_or_default() != job.id {
         return Err(Loss::Unknown(Code::ForeignAnswer));
--- a/src/home/forward.rs
+++ b/src/home/forward.rs
@@ -105,6 +105,7 @@
                 tracing::warn!(upstream = %self.run.upstream, "home: response to another exchange dropped");
                 Err(Refusal::unknown(Code::ForeignAnswer))
             }
+            _ if !framing::is_final(status.as_u16()) => Err(Refusal::unknown(Code::UpstreamFailed)),
             _ if self.run.call.idempotent && is_failure(status) => {
                 Err(Refusal::unknown(Code::UpstreamFailed))
             }
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -34,6 +34,7 @@
 mod server;
 mod settings;
 mod shutdown;
+mod status;
 mod store;
 mod truncation;
 mod unframed;
--- a/tests/gateway_path/refusals.rs
+++ b/tests/gateway_path/refusals.rs
@@ -261,7 +261,7 @@
 }
 
 /// Makes a host believe in another one, and returns that one's listener.
-async fn announce_host(host: &Host) -> TcpListener {
+pub async fn announce_host(host: &Host) -> TcpListener {
     let IpAddr::V4(local) = host.peer.ip() else {
         panic!("no IPv4 address");
     };
@@ -308,7 +308,7 @@
 }
 
 /// Sends the same response to each request.
-async fn respond(listener: TcpListener, text: String) {
+pub async fn respond(listener: TcpListener, text: String) {
     loop {
         let (mut stream, _) = listener.accept().await.unwrap();
         let _read = stream.read(&mut [0; 4_096]).await;
--- a/tests/home_forward.rs
+++ b/tests/home_forward.rs
@@ -202,3 +202,18 @@
     let result = forward(service(), text.to_owned(), End::Close).await;
     assert_eq!(result.unwrap_err().code, Code::AnswerCut);
 }
+
+/// Guards against a status that callers can't understand, from an upstream in trouble.
+#[rstest]
+#[tokio::test]
+async fn a_response_without_a_valid_status_is_not_forwarded(
+    #[values(100, 101, 199, 600, 999)] status: u16,
+) {
+    let run = run(service());
+    let text = "content-length: 4\r\n\r\nsold".to_owned();
+    let mut response = response(text, End::Close).await;
+    *response.status_mut() = status.try_into().unwrap();
+    let refusal = Forwarder::new(&run, response, TIMEOUT).head().unwrap_err();
+    let expected = (Outcome::Unknown, Code::UpstreamFailed);
+    assert_eq!((refusal.outcome, refusal.code), expected);
+}
