Renew the connection that shows whether an upstream lives on

Cause: an upstream closes idle connections, the one beside its responses too. The end of a long stream without a length of an upstream that has no entry any more was doubted then, as before the witness. Seen by reading, shown by a test.

Change: the connection is replaced every two seconds, by one that was accepted while the one before was open: no other process gets an address that one has.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -37,7 +37,7 @@
 
 /// How long the new connection has to stay open. The sockets of a process that ends close one after
 /// another, the listening one possibly last, and with it the connections that nobody accepted.
-const HOLD_TIME: Duration = Duration::from_millis(50);
+pub const HOLD_TIME: Duration = Duration::from_millis(50);
 
 /// Why the end of a response can't be believed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -233,7 +233,7 @@
         Err(Fault::Connect(_) | Fault::Unsent | Fault::Broken(_)) => Probe::Refused,
     };
     let witness = watch.witness.as_ref();
-    let witness = witness.map_or(witness::Status::Missing, |it| it.status(end, HOLD_TIME));
+    let witness = witness.map_or(witness::Status::Missing, |it| it.status(end));
     let now = boot::Instant::now();
     let is_late = lock(&state.pulse).was_suspended(now, watch.sent);
     // The witness goes before the platform's list, and a refused connection needs neither.
--- a/src/gateway/witness.rs
+++ b/src/gateway/witness.rs
@@ -17,9 +17,15 @@
 use tracing::info;
 
 use crate::gateway::connection::Connection;
+use crate::gateway::connection::Fault;
+use crate::gateway::liveness::HOLD_TIME;
 use crate::gateway::state::State;
 use crate::lock::lock;
 
+/// Interval at which the connection is replaced, as upstreams close idle ones. Shorter than the time
+/// for which the pool keeps them.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// What a witness tells of the process that it is connected to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -49,18 +55,45 @@
 pub struct Witness(Mutex<Link>);
 
 impl Witness {
-    /// Returns what the connection tells of the process that sent a response until `end`. A
-    /// connection that wasn't open for `lead` by then may be to a later process: a host that was
+    /// Returns what the connection tells of the process that sent a response until `end`, some time
+    /// after it. One that had just been opened by then may be to a later process: a host that was
     /// suspended reads the beginning and the end of a response at once.
-    pub fn status(&self, end: Instant, lead: Duration) -> Status {
+    pub fn status(&self, end: Instant) -> Status {
         match &*lock(&self.0) {
-            Link::Open { since, .. } if *since + lead > end => Status::Missing,
+            Link::Open { since, .. } if *since + HOLD_TIME > end => Status::Missing,
             Link::Open { connection, .. } if connection.is_open() => Status::Open,
             Link::Open { .. } => Status::Closed,
             Link::Opening | Link::Failed => Status::Missing,
         }
     }
 
+    /// Records the result of opening the first connection, and returns whether there is one.
+    fn begin(&self, opened: Result<Connection, Fault>, address: SocketAddr) -> bool {
+        let link = match opened {
+            Ok(connection) => Link::Open {
+                connection,
+                since: Instant::now(),
+            },
+            Err(fault) => {
+                info!(%address, %fault, "upstream: can't open a connection beside a response");
+                Link::Failed
+            }
+        };
+        let is_open = matches!(link, Link::Open { .. });
+        *lock(&self.0) = link;
+        is_open
+    }
+
+    /// Replaces the connection by a later one, if both are open.
+    fn replace(&self, next: Connection) {
+        match &mut *lock(&self.0) {
+            Link::Open { connection, .. } if connection.is_open() && next.is_open() => {
+                *connection = next;
+            }
+            Link::Open { .. } | Link::Opening | Link::Failed => {}
+        }
+    }
+
     /// Returns whether responses that begin now can use it.
     fn is_usable(&self) -> bool {
         match &*lock(&self.0) {
@@ -101,24 +134,37 @@
     witness
 }
 
-/// Opens the connection of a witness, unless no response needs it any more.
+/// Opens the connection of a witness, and renews it until no response needs it any more.
 async fn open(state: Arc<State>, address: SocketAddr, witness: Weak<Witness>) {
-    let opening = state.pool.acquire(address, true);
-    let Some(result) = state.stop.run_until_cancelled(opening).await else {
-        return;
-    };
-    let Some(witness) = witness.upgrade() else {
-        return;
-    };
-    let link = match result {
-        Ok(connection) => Link::Open {
-            connection,
-            since: Instant::now(),
-        },
-        Err(fault) => {
-            info!(%address, %fault, "upstream: can't open a connection beside a response");
-            Link::Failed
+    let keep = async {
+        let opened = state.pool.acquire(address, true).await;
+        let Some(first) = witness.upgrade() else {
+            return;
+        };
+        if first.begin(opened, address) {
+            drop(first);
+            renew(&state, address, &witness).await;
         }
     };
-    *lock(&witness.0) = link;
+    // A host that stops needs no witness.
+    let _stopped = state.stop.run_until_cancelled(keep).await;
+}
+
+/// Replaces the connection regularly. The next one is to the same process if the one before is still
+/// open after it was accepted: no other process gets an address that one has.
+async fn renew(state: &State, address: SocketAddr, witness: &Weak<Witness>) {
+    loop {
+        tokio::time::sleep(RENEWAL_INTERVAL).await;
+        if witness.strong_count() == 0 {
+            return;
+        }
+        let next = state.pool.acquire(address, true).await;
+        tokio::time::sleep(HOLD_TIME).await;
+        let Some(witness) = witness.upgrade() else {
+            return;
+        };
+        if let Ok(next) = next {
+            witness.replace(next);
+        }
+    }
 }
--- a/tests/gateway_path/process.rs
+++ b/tests/gateway_path/process.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Interval at which it looks for connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -27,6 +28,8 @@
     /// Whether it ends then, and with it all connections, and another process accepts connections at
     /// its address.
     pub is_replaced: bool,
+    /// After which it closes each other connection.
+    pub idle_limit: Duration,
 }
 
 /// A running process. Its thread ends when this is dropped.
@@ -71,9 +74,10 @@
     let address = listener.local_addr().unwrap();
     let has_ended = Arc::new(AtomicBool::new(false));
     let mut first = None;
-    let mut others = Vec::new();
+    let mut others: Vec<(TcpStream, Instant)> = Vec::new();
     listener.set_nonblocking(true).unwrap();
     while !is_over.load(Ordering::Relaxed) && !has_ended.load(Ordering::Relaxed) {
+        others.retain(|(_, since)| since.elapsed() < plan.idle_limit);
         match listener.accept() {
             Ok((stream, _)) if first.is_none() => {
                 let (has_arrived, has_ended) = (has_arrived.clone(), has_ended.clone());
@@ -82,7 +86,7 @@
                     has_ended.store(plan.is_replaced, Ordering::Relaxed);
                 }));
             }
-            Ok((stream, _)) => others.push(stream),
+            Ok((stream, _)) => others.push((stream, Instant::now())),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => thread::sleep(POLL_INTERVAL),
             Err(error) => panic!("{error}"),
         }
--- a/tests/gateway_path/unlisted.rs
+++ b/tests/gateway_path/unlisted.rs
@@ -11,6 +11,7 @@
 use masticmoor::outcome::Outcome;
 use rstest::rstest;
 
+use crate::TIMEOUT;
 use crate::caller;
 use crate::caller::Reply;
 use crate::first_arrival;
@@ -221,6 +222,7 @@
         text: THREE_EVENTS,
         pause: SUSPENSION / 2,
         is_replaced: true,
+        idle_limit: TIMEOUT,
     };
     let reply = send_and_suspend(Kind::Stream, plan, listed, READ_TIME).await;
     assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
@@ -238,6 +240,7 @@
         text: SEAT,
         pause: Duration::ZERO,
         is_replaced: true,
+        idle_limit: TIMEOUT,
     };
     let reply = send_and_suspend(Kind::NonIdempotent, plan, listed, Duration::ZERO).await;
     assert_eq!(reply.status, 502, "{}", reply.text());
@@ -252,12 +255,39 @@
         text: THREE_EVENTS,
         pause: SUSPENSION / 2,
         is_replaced: false,
+        idle_limit: TIMEOUT,
     };
     let reply = send_and_suspend(Kind::Stream, plan, Listed::Nothing, READ_TIME).await;
     assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
     assert!(reply.is_complete);
 }
 
+/// Guards against a long stream that is cut because its upstream closes connections that are idle.
+#[rstest]
+#[case::it_lives_on(false)]
+#[case::another_process_follows(true)]
+#[tokio::test]
+async fn a_long_stream_is_complete_if_its_upstream_that_closes_idle_connections_lives_on(
+    #[case] is_replaced: bool,
+) {
+    let process = Process::start(Plan {
+        delay: Duration::ZERO,
+        text: THREE_EVENTS,
+        pause: Duration::from_millis(3_200),
+        is_replaced,
+        idle_limit: Duration::from_millis(2_500),
+    });
+    let one = Upstream::listed_at("u1", process.address);
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let unlist = async {
+        process.arrival().await;
+        host.replace_upstreams(&[]).await;
+    };
+    let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), unlist);
+    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
+    assert_eq!(reply.is_complete, !is_replaced);
+}
+
 /// Guards against a connection for each stream beside the stream's own: an upstream resets those
 /// beyond its limit.
 #[tokio::test]
