Leave the statuses of the product's own interface as they were

Cause: the status of a refusal whose outcome is unknown was changed in a place that the product's own interface shares. There the outcome stands in a header, and 503 with `issuer-lost` promises nothing. Callers of `masticmoor serve` got 502 (`fleet_once`: a_forged_or_mismatched_token_..., failed in a run of all tests).

Change: the rule stands in `gateway::refusal`, which only the platform's callers see.

--- a/src/entry/problem.rs
+++ b/src/entry/problem.rs
@@ -40,7 +40,7 @@
         Self {
             kind: format!("urn:masticmoor:{}", refusal.code),
             title: refusal.code.to_string().replace('-', " "),
-            status: refusal.status().as_u16(),
+            status: refusal.code.status().as_u16(),
             code: refusal.code,
             outcome: refusal.outcome,
             retry_after_ms: refusal.retry_after_ms,
@@ -66,7 +66,7 @@
 /// Returns the response to a caller whose request was refused.
 pub fn response(refusal: &Refusal) -> Response {
     let mut builder = Response::builder()
-        .status(refusal.status())
+        .status(refusal.code.status())
         .content_type(CONTENT_TYPE)
         .header(header::OUTCOME, <&str>::from(refusal.outcome));
     if let Some(retry_after_ms) = refusal.retry_after_ms {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -36,6 +36,7 @@
 use crate::gateway::job::Job;
 use crate::gateway::liveness;
 use crate::gateway::refusal;
+use crate::gateway::refusal::promises_not_run;
 use crate::gateway::state::State;
 use crate::gateway::stream;
 use crate::gateway::stream::Payload;
@@ -45,7 +46,6 @@
 use crate::log::millis;
 use crate::outcome::Code;
 use crate::outcome::Refusal;
-use crate::outcome::promises_not_run;
 
 /// Serves the request of a caller, or one that another host hands on. Failures are returned as
 /// refusals.
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -180,18 +180,6 @@
         }
     }
 
-    /// Returns the HTTP status of the response. One that promises that nothing ran is left to
-    /// requests of which that is known.
-    pub fn status(&self) -> http::StatusCode {
-        let status = self.code.status();
-        match self.outcome {
-            Outcome::Unknown | Outcome::Answered if promises_not_run(status) => {
-                http::StatusCode::BAD_GATEWAY
-            }
-            Outcome::Unknown | Outcome::Answered | Outcome::NotRun => status,
-        }
-    }
-
     /// Sets the time after which the caller may retry.
     pub fn with_retry_after(mut self, wait: Duration) -> Self {
         self.retry_after_ms = Some(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
@@ -199,16 +187,6 @@
     }
 }
 
-/// Returns whether callers take a status for the promise that the request has not run and won't, so
-/// that they may send it again whatever it does.
-pub fn promises_not_run(status: http::StatusCode) -> bool {
-    use http::StatusCode as S;
-    matches!(
-        status,
-        S::REQUEST_TIMEOUT | S::MISDIRECTED_REQUEST | S::TOO_MANY_REQUESTS | S::SERVICE_UNAVAILABLE
-    )
-}
-
 impl Code {
     /// Returns whether the upstream crashed while it ran the request.
     pub fn is_crash(self) -> bool {
--- a/tests/gateway_path/refusals.rs
+++ b/tests/gateway_path/refusals.rs
@@ -8,12 +8,13 @@
 use masticmoor::gateway::datagram::Report;
 use masticmoor::gateway::datagram::Sender;
 use masticmoor::gateway::peers::Progress;
+use masticmoor::gateway::refusal;
+use masticmoor::gateway::refusal::promises_not_run;
 use masticmoor::gateway::table::Kind;
 use masticmoor::lock::lock;
 use masticmoor::outcome::Code;
 use masticmoor::outcome::Outcome;
 use masticmoor::outcome::Refusal;
-use masticmoor::outcome::promises_not_run;
 use rstest::rstest;
 use strum::IntoEnumIterator;
 use tokio::io::AsyncReadExt;
@@ -228,7 +229,7 @@
 #[test]
 fn no_refusal_of_unknown_outcome_promises_that_nothing_ran() {
     for code in Code::iter() {
-        let status = Refusal::unknown(code).status();
+        let status = refusal::status(&Refusal::unknown(code));
         assert!(!promises_not_run(status), "{code}: {status}");
     }
 }
@@ -247,7 +248,7 @@
     let (fleet, links) = Host::start_linked_fleet(1, Kind::NonIdempotent, &[&upstream]).await;
     let host = &fleet[0];
     let other = announce_host(host).await;
-    let served = tokio::spawn(respond(other, refusal(headers)));
+    let served = tokio::spawn(respond(other, refuse(headers)));
     links[0].set(Path::Reset);
     let cut_off = async {
         while !lock(&host.state.reach).is_lost(&"desk".into()) {
@@ -300,7 +301,7 @@
 }
 
 /// Returns a refusal with some headers.
-fn refusal(headers: &str) -> String {
+fn refuse(headers: &str) -> String {
     let body = r#"{"type":"urn:masticmoor:body-too-large","title":"","status":413,
         "code":"body-too-large","outcome":"not-run"}"#;
     let length = body.len();
