Name what the evidence of a suspension is after it

Cause: read as a newcomer, `is_late` beside `Doubt::Late`, the deadline's, was two things by one word.

Change: `was_suspended`, also in the log line.

Result: names only; clippy and the tests of `gateway_liveness` pass.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -131,11 +131,11 @@
     pub probe: Probe,
     /// An earlier connection.
     pub witness: witness::Status,
-    /// Whether the host was suspended while the response arrived, and may have found its end late.
-    pub is_late: bool,
+    /// Whether the host was suspended since it sent the request, and may have found the end late.
+    pub was_suspended: bool,
     /// Whether it is known to leave, so that it may have stopped to accept connections.
     pub is_leaving: bool,
-    /// What the platform lists; of a host that is late, `None` if its copy may be outdated.
+    /// What the platform lists; of a host that was suspended, `None` if its copy may be outdated.
     pub listing: Option<Listing>,
 }
 
@@ -144,7 +144,7 @@
     pub fn judge(&self) -> Result<(), Doubt> {
         let has_witness = self.witness == witness::Status::Open;
         // A process takes longer to start again than a host that wasn't suspended to find the end.
-        let is_prompt = self.witness == witness::Status::Missing && !self.is_late;
+        let is_prompt = self.witness == witness::Status::Missing && !self.was_suspended;
         match (self.probe, self.listing) {
             (Probe::Timeout, _) => Err(Doubt::Timeout),
             // A lost packet may hide from an idle connection that the process has ended.
@@ -184,7 +184,7 @@
         probe = evidence.map(|it| tracing::field::display(it.probe)),
         witness = evidence.map(|it| tracing::field::display(it.witness)),
         listing = listing.map(tracing::field::display),
-        is_late = evidence.map(|it| it.is_late), after_ms = millis(started.elapsed()),
+        was_suspended = evidence.map(|it| it.was_suspended), after_ms = millis(started.elapsed()),
         "request: end of the response can't be confirmed");
     Err(match doubt {
         Doubt::Late => Code::StreamTimeout,
@@ -235,18 +235,18 @@
     let witness = watch.witness.as_ref();
     let witness = witness.map_or(witness::Status::Missing, |it| it.status(end));
     let now = boot::Instant::now();
-    let is_late = lock(&state.pulse).was_suspended(now, watch.sent);
+    let was_suspended = lock(&state.pulse).was_suspended(now, watch.sent);
     // The witness goes before the platform's list, and a refused connection needs neither.
     let needs_listing = probe == Probe::Held && witness != witness::Status::Open;
     let listing = match is_own {
-        true if is_late && needs_listing && !reader::confirm(state, now).await => None,
+        true if was_suspended && needs_listing && !reader::confirm(state, now).await => None,
         true => Some(listing(state, record)),
         false => Some(Listing::Same),
     };
     Evidence {
         probe,
         witness,
-        is_late,
+        was_suspended,
         is_leaving,
         listing,
     }
--- a/tests/gateway_liveness.rs
+++ b/tests/gateway_liveness.rs
@@ -21,7 +21,7 @@
     Evidence {
         probe,
         witness,
-        is_late: false,
+        was_suspended: false,
         is_leaving: false,
         listing,
     }
@@ -32,10 +32,10 @@
 fn an_open_witness_goes_before_what_the_platform_lists(
     #[values(Probe::Held, Probe::Closed)] probe: Probe,
     #[values(SAME, REPLACED, MISSING, None)] listing: Option<Listing>,
-    #[values(false, true)] is_late: bool,
+    #[values(false, true)] was_suspended: bool,
 ) {
     let evidence = Evidence {
-        is_late,
+        was_suspended,
         ..evidence(probe, Status::Open, listing)
     };
     assert_eq!(evidence.judge(), Ok(()));
@@ -66,11 +66,11 @@
 #[case::in_time(false, Ok(()))]
 #[case::late(true, Err(Doubt::NotListed))]
 fn an_unlisted_upstream_without_a_witness_is_believed_by_a_host_that_runs(
-    #[case] is_late: bool,
+    #[case] was_suspended: bool,
     #[case] expected: Result<(), Doubt>,
 ) {
     let evidence = Evidence {
-        is_late,
+        was_suspended,
         ..evidence(Probe::Held, Status::Missing, MISSING)
     };
     assert_eq!(evidence.judge(), expected);
