--- a/tests/gateway_path/refusals.rs
+++ b/tests/gateway_path/refusals.rs
@@ -124,7 +124,7 @@
     assert_eq!(runs(&[&one]), 1);
 }
 
-/// Guards against a mend that takes each rejection for a failure: the request runs elsewhere.
+/// Guards against rejections that count as failures: a rejected request runs elsewhere.
 #[rstest]
 #[tokio::test]
 async fn a_rejection_with_its_mark_is_retried_whatever_its_status(
--- a/tests/gateway_path/unframed.rs
+++ b/tests/gateway_path/unframed.rs
@@ -181,7 +181,7 @@
     assert_eq!(reply.is_complete, !is_replaced);
 }
 
-/// Guards against a fix that makes sound responses without framing run twice, or wait for long.
+/// Guards against sound responses without framing that run twice, or wait for long.
 #[rstest]
 #[case::stream(Kind::Stream, THREE_EVENTS)]
 #[case::resumable(Kind::ResumableStream, THREE_EVENTS)]
--- a/tests/gateway_path/unlisted.rs
+++ b/tests/gateway_path/unlisted.rs
@@ -252,7 +252,7 @@
     assert_eq!(outcome(&reply), Outcome::Unknown);
 }
 
-/// Guards against a mend that cuts each sound stream that a suspended host reads late.
+/// Guards against sound streams that are cut because a suspended host reads their end late (LOST).
 #[tokio::test]
 async fn a_sound_stream_that_ends_while_its_host_is_suspended_is_complete() {
     let plan = Plan {
