review: a complete unframed stream is cut where the runner closes idle connections early

Cause: the witness of a response without length or chunks is an idle connection, and is replaced every 2 s. A runner that closes idle ones after 1 s closes it, which looks like the end of its process once the runner's entry is removed.

--- a/review/stand-3.rs
+++ b/review/stand-3.rs
@@ -499,6 +499,8 @@
     events: usize,
     gap_ms: u64,
     work_ms: u64,
+    /// Time after which an idle connection is closed; 0 for none.
+    idle_ms: u64,
     slots: u32,
     running: Arc<AtomicUsize>,
     /// Is told of each run.
@@ -518,6 +520,9 @@
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        if self.idle_ms > 0 {
+            stream.set_read_timeout(Some(Duration::from_millis(self.idle_ms)))?;
+        }
         let mut wire = Wire::new(stream);
         while let Some(head) = wire.head()? {
             let Some(_body) = wire.request_body(&head)? else {
@@ -862,6 +867,18 @@
         line.trim().trim_end_matches("kB").trim().parse().ok()
     }
 
+    /// Sends SIGTERM to the process.
+    fn terminate(&self) -> Result<()> {
+        let id = self.child.as_ref().ok_or("not running")?.id();
+        let status = Command::new("kill")
+            .args(["-TERM", &id.to_string()])
+            .status()?;
+        match status.success() {
+            true => Ok(()),
+            false => Err("can't send a signal".into()),
+        }
+    }
+
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ended = child.kill();
@@ -1098,6 +1115,7 @@
             "reborn" => reborn(&setup),
             "restored" => restored(&setup),
             "storms" => storms(&setup),
+            "unlisted" => unlisted(&setup),
             _ => Err("unknown scenario".into()),
         };
         if std::env::var_os("KEEP").is_none() {
@@ -1131,6 +1149,7 @@
         events: 36,
         gap_ms: 50,
         work_ms: 30,
+        idle_ms: 0,
         slots: 64,
         running: Arc::default(),
         log: Arc::new(|text| {
@@ -1341,6 +1360,7 @@
             events: 36,
             gap_ms: 50,
             work_ms: 5,
+            idle_ms: 0,
             slots: 6,
             running: Arc::default(),
             log: Arc::new(move |text| {
@@ -1527,6 +1547,7 @@
             events: 36,
             gap_ms: 50,
             work_ms: 30,
+            idle_ms: 0,
             slots: 6,
             running: Arc::default(),
             log: Arc::new(move |text| {
@@ -1671,3 +1692,138 @@
 
 /// Time in which the configuration changes.
 const STORM_TIME_MS: u64 = 95_000;
+
+/// A machine is stopped, and a runner leaves without a word: its entry is removed and it serves on. Its
+/// streams have no length, and it closes connections that are idle for a second.
+fn unlisted(setup: &Setup) -> Result<Verdict> {
+    let record = &setup.record;
+    let store = Store::start()?;
+    store.put("op/config", Some(config(7, &routes(), &[KEY])));
+    let runs: Arc<Mutex<BTreeMap<String, String>>> = Arc::default();
+    for number in 0..4u8 {
+        let listener = TcpListener::bind((network(100 + number), 0))?;
+        let id = format!("i-7f3a91c{number}");
+        let value = entry("engines", listener.local_addr()?, "kgn-a", 64, 1, unix_ms());
+        store.put(&format!("servers/{id}"), Some(value));
+        let (record, runs) = (record.clone(), runs.clone());
+        let runner = Runner {
+            id,
+            is_unframed: true,
+            events: 36,
+            gap_ms: 50,
+            work_ms: 30,
+            idle_ms: 1_000,
+            slots: 64,
+            running: Arc::default(),
+            log: Arc::new(move |text| {
+                let mut words = text.split(' ').skip(1);
+                let id = words.next().unwrap_or_default().to_owned();
+                let runner = words.nth(1).unwrap_or_default().to_owned();
+                lock(&runs).insert(id, runner);
+                record.line(text);
+            }),
+        };
+        runner.listen(listener);
+    }
+    let peer_port = free_port(network(1))?;
+    let gossip_port = free_port(network(1))?;
+    let seeds: Vec<SocketAddr> = (1..=3)
+        .map(|last| (network(last), peer_port).into())
+        .collect();
+    let mut hosts = Vec::new();
+    for last in 1..=3u8 {
+        let place = Place {
+            name: &format!("edge-{last}"),
+            zone: "kgn-a",
+            ip: network(last),
+            peer_port,
+            gossip_port,
+            store: store.address,
+            seeds: &seeds,
+        };
+        hosts.push(Host::start(&setup.folder, &place)?);
+    }
+    for host in &hosts {
+        host.wait_ready()?;
+    }
+    record.line("hosts are ready");
+    let is_over = Arc::new(AtomicBool::new(false));
+    let lost: Arc<Mutex<Vec<String>>> = Arc::default();
+    let served = Arc::new(AtomicUsize::new(0));
+    let mut consumers = Vec::new();
+    for number in 0..36 {
+        let on = number % hosts.len();
+        let address = hosts[on].caller;
+        let (record, is_over) = (record.clone(), is_over.clone());
+        let (lost, served) = (lost.clone(), served.clone());
+        consumers.push(thread::spawn(move || {
+            let mut consumer = Consumer::new(address);
+            let mut count = 0;
+            // The streams begin at different times.
+            sleep_ms(number as u64 * 50);
+            while !is_over.load(Ordering::Relaxed) {
+                count += 1;
+                let id = format!("c{}-{number:02}-{count}", on + 1);
+                let answer = consumer.send(&Request {
+                    method: "POST",
+                    path: "/chat/2f",
+                    id: &id,
+                    key: KEY,
+                    deadline_ms: 8_000,
+                    // The longest of two seconds, four times the objective and eight times the pause.
+                    patience: Duration::from_millis(3_200),
+                    body: "How are the rows?",
+                    more: &format!("X-Model: m\r\nX-Token-Usage: 830,280\r\nX-Prompt-Prefix: {:x}:120,{:x}:580,{number:x}{count:x}:130\r\n", number % 8 + 16, number + 64),
+                });
+                match answer {
+                    Answer::Whole { status: 200, body } if events(&body) == 36 => {
+                        served.fetch_add(1, Ordering::Relaxed);
+                        record.line(format!("answer {id} 200, complete"));
+                    }
+                    Answer::Cut { status: Some(200), bytes } => {
+                        record.line(format!("answer {id} 200, CUT after {bytes} bytes"));
+                        lock(&lost).push(id);
+                    }
+                    Answer::Whole { status, .. } => record.line(format!("answer {id} {status}")),
+                    Answer::Unsent => sleep_ms(200),
+                    answer => record.line(format!("answer {id} {answer:?}")),
+                }
+                sleep_ms(10);
+            }
+        }));
+    }
+    sleep_ms(6_000);
+    if setup.has_trouble {
+        hosts[0].terminate()?;
+        record.line("SIGTERM: edge-1");
+        store.put("servers/i-7f3a91c0", None);
+        record.line("REMOVED: the entry of i-7f3a91c0, which serves on");
+    }
+    sleep_ms(5_000);
+    is_over.store(true, Ordering::Relaxed);
+    for consumer in consumers {
+        let _joined = consumer.join();
+    }
+    let runs = lock(&runs);
+    let lost = lock(&lost);
+    let at = |id: &String| runs.get(id).cloned().unwrap_or_default();
+    let of_stopped: Vec<String> = lost
+        .iter()
+        .filter(|id| id.starts_with("c1-"))
+        .map(|id| format!("{id} at {}", at(id)))
+        .collect();
+    record.line(format!(
+        "whole streams: {}; streams cut: {}, of these through the machine that stops: {}: {}",
+        served.load(Ordering::Relaxed),
+        lost.len(),
+        of_stopped.len(),
+        of_stopped.join(", ")
+    ));
+    if served.load(Ordering::Relaxed) < 60 {
+        return Err("too few streams were served".into());
+    }
+    Ok(match of_stopped.is_empty() {
+        true => Verdict::Held,
+        false => Verdict::Broken,
+    })
+}
