Log the age at which a connection beside responses ends

The log said that the connection beside them was closed, not when: whether it was idle, the upstream had ended, or the host's stop had closed it looked the same.

Change: a connection has a token that is cancelled when it has ended, and a witness logs its age then.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -22,6 +22,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use crate::gateway::head_limit;
 use crate::gateway::upload;
@@ -79,6 +80,8 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Cancelled when the connection has ended.
+    ended: CancellationToken,
     address: SocketAddr,
     /// Limits what is read before the head of a response.
     budget: head_limit::Budget,
@@ -101,6 +104,11 @@
         !self.sender.is_closed()
     }
 
+    /// Returns a token that is cancelled when the connection has ended.
+    pub fn ended(&self) -> &CancellationToken {
+        &self.ended
+    }
+
     /// Returns whether the last request, with a body of some bytes, was written to its end.
     pub fn is_request_written(&self, body: usize) -> bool {
         self.progress.is_complete(body)
@@ -209,13 +217,17 @@
     let stream = tokio::io::join(reader, upload::Writer::new(writer, &progress));
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(Fault::Broken)?;
+    let ended = CancellationToken::new();
+    let guard = ended.clone().drop_guard();
     let task = tokio::spawn(async move {
+        let _guard = guard;
         // The request in flight receives the error.
-        let _ended = connection.await;
+        let _result = connection.await;
     });
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        ended,
         address,
         budget,
         progress,
--- a/src/gateway/witness.rs
+++ b/src/gateway/witness.rs
@@ -14,6 +14,8 @@
 
 use strum::Display;
 use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 use tracing::info;
 
 use crate::gateway::connection::Connection;
@@ -21,6 +23,7 @@
 use crate::gateway::liveness::HOLD_TIME;
 use crate::gateway::state::State;
 use crate::lock::lock;
+use crate::log::millis;
 
 /// Interval at which the connection is replaced, as upstreams close idle ones. Shorter than the time
 /// for which the pool keeps them.
@@ -84,13 +87,22 @@
         is_open
     }
 
-    /// Replaces the connection by a later one, if both are open.
-    fn replace(&self, next: Connection) {
+    /// Replaces the connection by a later one, if both are open, and returns whether they are.
+    fn replace(&self, next: Connection) -> bool {
         match &mut *lock(&self.0) {
             Link::Open { connection, .. } if connection.is_open() && next.is_open() => {
                 *connection = next;
+                true
             }
-            Link::Open { .. } | Link::Opening | Link::Failed => {}
+            Link::Open { .. } | Link::Opening | Link::Failed => false,
+        }
+    }
+
+    /// Returns the token that is cancelled when the connection has ended.
+    fn ended(&self) -> Option<CancellationToken> {
+        match &*lock(&self.0) {
+            Link::Open { connection, .. } => Some(connection.ended().clone()),
+            Link::Opening | Link::Failed => None,
         }
     }
 
@@ -153,18 +165,29 @@
 /// Replaces the connection regularly. The next one is to the same process if the one before is still
 /// open after it was accepted: no other process gets an address that one has.
 async fn renew(state: &State, address: SocketAddr, witness: &Weak<Witness>) {
+    let mut opened = Instant::now();
     loop {
-        tokio::time::sleep(RENEWAL_INTERVAL).await;
+        let Some(ended) = witness.upgrade().and_then(|it| it.ended()) else {
+            return;
+        };
+        let has_ended = timeout(RENEWAL_INTERVAL, ended.cancelled()).await.is_ok();
         if witness.strong_count() == 0 {
             return;
         }
+        if has_ended {
+            info!(%address, age_ms = millis(opened.elapsed()),
+                "upstream: connection beside responses has ended");
+            return;
+        }
         let next = state.pool.acquire(address, true).await;
         tokio::time::sleep(HOLD_TIME).await;
         let Some(witness) = witness.upgrade() else {
             return;
         };
-        if let Ok(next) = next {
-            witness.replace(next);
+        if let Ok(next) = next
+            && witness.replace(next)
+        {
+            opened = Instant::now() - HOLD_TIME;
         }
     }
 }
