Note the end of a connection beside responses while the next one is opened

Cause: an end during the 50 ms in which the next connection is taken up wasn't seen, so its lifetime wasn't either; the next one was opened too late again, and no line told that the chain was broken.

Change: ends are watched while a connection is opened. Connections of a chain are opened at least 75 ms apart, half of the shortest timeout that one can bridge, so that a shorter one doesn't cost more.

--- a/src/gateway/witness.rs
+++ b/src/gateway/witness.rs
@@ -25,6 +25,7 @@
 use tracing::info;
 
 use crate::gateway::connection::Connection;
+use crate::gateway::connection::Pool;
 use crate::gateway::liveness::HOLD_TIME;
 use crate::gateway::state::State;
 use crate::lock::lock;
@@ -33,10 +34,13 @@
 /// Number of connections in a chain, beside one that is about to be closed.
 const LINKS: usize = 2;
 
-/// Time between the first two connections of a chain. An upstream that closes idle connections
-/// sooner than this breaks the chain.
+/// Time between the first two connections of a chain. It is broken by an upstream that closes idle
+/// connections sooner than this and a [`HOLD_TIME`].
 const FIRST_STAGGER: Duration = Duration::from_millis(150);
 
+/// Minimum time between two connections of a chain.
+const MIN_STAGGER: Duration = Duration::from_millis(75);
+
 /// Time before a connection that failed is tried again, doubled with each further failure.
 const RETRY_TIME: Duration = Duration::from_millis(150);
 
@@ -218,69 +222,89 @@
 
 /// Keeps connections for a witness until no response needs it any more.
 async fn run(state: Arc<State>, address: SocketAddr, witness: Weak<Witness>) {
+    let mut keeper = Keeper {
+        address,
+        witness,
+        schedule: Schedule::default(),
+        links: Vec::new(),
+    };
     // A host that stops needs no witness.
     let _stopped = state
         .stop
-        .run_until_cancelled(keep(&state, address, &witness))
+        .run_until_cancelled(keeper.run(&state.pool))
         .await;
 }
 
-async fn keep(state: &State, address: SocketAddr, witness: &Weak<Witness>) {
-    let mut schedule = Schedule::default();
-    loop {
-        let connection = state.pool.acquire(address, true).await;
-        let opened = Instant::now();
-        sleep(HOLD_TIME).await;
-        let (opening, mut links) = match witness.upgrade() {
-            Some(witness) => {
-                let mut chain = lock(&witness.0);
-                let opening = connection.map(|it| chain.extend(opened, it));
-                (opening, chain.links())
+/// Opens the connections of a witness.
+struct Keeper {
+    address: SocketAddr,
+    witness: Weak<Witness>,
+    schedule: Schedule,
+    /// The connections that haven't ended.
+    links: Vec<Link>,
+}
+
+impl Keeper {
+    async fn run(&mut self, pool: &Pool) {
+        loop {
+            loop {
+                let due = self.schedule.due(Instant::now(), &self.links);
+                let wait = async {
+                    match due {
+                        Some(due) => sleep_until(due).await,
+                        None => std::future::pending().await,
+                    }
+                };
+                if self.watch_during(wait).await.is_some() {
+                    break;
+                }
+            }
+            let address = self.address;
+            let mut opening = std::pin::pin!(async {
+                let connection = pool.acquire(address, true).await;
+                let opened = Instant::now();
+                sleep(HOLD_TIME).await;
+                (opened, connection)
+            });
+            let (opened, connection) = loop {
+                if let Some(result) = self.watch_during(opening.as_mut()).await {
+                    break result;
+                }
+            };
+            let Some(witness) = self.witness.upgrade() else {
+                return;
+            };
+            let mut chain = lock(&witness.0);
+            let opening = connection.map(|it| chain.extend(opened, it));
+            self.links = chain.links();
+            if self
+                .schedule
+                .record_opening(Instant::now(), matches!(opening, Ok(true)))
+            {
+                let fault = opening.err().map(tracing::field::display);
+                info!(%address, fault, "upstream: can't open a connection beside a response");
             }
-            None => return,
-        };
-        let is_open = matches!(opening, Ok(true));
-        if schedule.record_opening(Instant::now(), is_open) {
-            let fault = opening.err().map(tracing::field::display);
-            info!(%address, fault, "upstream: can't open a connection beside a response");
         }
-        while !wait(&mut schedule, &mut links, address, witness).await {}
     }
-}
 
-/// Waits until another connection is due, and returns whether it is, or until one of those in use has
-/// ended.
-async fn wait(
-    schedule: &mut Schedule,
-    links: &mut Vec<Link>,
-    address: SocketAddr,
-    witness: &Weak<Witness>,
-) -> bool {
-    let due = schedule.due(Instant::now(), links);
-    let sleep = async {
-        match due {
-            Some(at) => sleep_until(at).await,
-            None => std::future::pending().await,
+    /// Returns the result of a task; `None` if a connection has ended before.
+    async fn watch_during<T>(&mut self, task: impl Future<Output = T>) -> Option<T> {
+        if self.links.is_empty() {
+            return Some(task.await);
         }
-    };
-    if links.is_empty() {
-        sleep.await;
-        return true;
-    }
-    let ended = select_all(links.iter().map(|it| Box::pin(it.ended.cancelled())));
-    let index = tokio::select! {
-        () = sleep => return true,
-        ((), index, _) = ended => index,
-    };
-    let age = links.swap_remove(index).opened.elapsed();
-    schedule.record_end(age);
-    if witness.strong_count() == 0 {
-        return true;
-    }
-    if links.is_empty() {
-        info!(%address, age_ms = millis(age), "upstream: connections beside responses have ended");
+        let ended = select_all(self.links.iter().map(|it| Box::pin(it.ended.cancelled())));
+        let index = tokio::select! {
+            result = task => return Some(result),
+            ((), index, _) = ended => index,
+        };
+        let age = self.links.swap_remove(index).opened.elapsed();
+        self.schedule.record_end(age);
+        if self.links.is_empty() && self.witness.strong_count() > 0 {
+            let (address, age_ms) = (self.address, millis(age));
+            info!(%address, age_ms, "upstream: connections beside responses have ended");
+        }
+        None
     }
-    false
 }
 
 /// When the connections of a witness are opened.
@@ -316,7 +340,9 @@
     /// Returns when the next connection is due beside open ones; `None` while there are enough. The
     /// times at which an upstream closes two of them as idle are kept apart by half of their lifetime.
     pub fn due(&self, now: Instant, open: &[Link]) -> Option<Instant> {
-        let stagger = self.lifetime.map_or(FIRST_STAGGER, |it| it / 2);
+        let stagger = self
+            .lifetime
+            .map_or(FIRST_STAGGER, |it| (it / 2).max(MIN_STAGGER));
         let youngest = open.iter().map(|link| link.opened).max();
         let due = match youngest {
             None => now,
--- a/tests/gateway_path/process.rs
+++ b/tests/gateway_path/process.rs
@@ -24,6 +24,8 @@
     pub delay: Duration,
     /// The rest of the response, from the headers that frame it on.
     pub text: &'static str,
+    /// Time between the parts of it that end with an empty line.
+    pub gap: Duration,
     /// Time until it closes the connection.
     pub pause: Duration,
     /// Whether it ends then, and with it all connections, and another process accepts connections at
@@ -135,7 +137,11 @@
         "HTTP/1.1 200 X\r\nx-attempt: {}\r\nx-receipt: r\r\n",
         attempt.unwrap()
     );
-    stream.write_all((head + plan.text).as_bytes())?;
+    stream.write_all(head.as_bytes())?;
+    for part in plan.text.split_inclusive("\n\n") {
+        stream.write_all(part.as_bytes())?;
+        thread::sleep(plan.gap);
+    }
     thread::sleep(plan.pause);
     Ok(())
 }
--- a/tests/gateway_path/unlisted.rs
+++ b/tests/gateway_path/unlisted.rs
@@ -225,6 +225,7 @@
     let plan = Plan {
         delay: Duration::ZERO,
         text: THREE_EVENTS,
+        gap: Duration::ZERO,
         pause: SUSPENSION / 2,
         is_replaced: true,
         idle_limit: TIMEOUT,
@@ -243,6 +244,7 @@
     let plan = Plan {
         delay: SUSPENSION / 3,
         text: SEAT,
+        gap: Duration::ZERO,
         pause: Duration::ZERO,
         is_replaced: true,
         idle_limit: TIMEOUT,
@@ -258,6 +260,7 @@
     let plan = Plan {
         delay: Duration::ZERO,
         text: THREE_EVENTS,
+        gap: Duration::ZERO,
         pause: SUSPENSION / 2,
         is_replaced: false,
         idle_limit: TIMEOUT,
@@ -278,6 +281,7 @@
     Plan {
         delay: Duration::ZERO,
         text,
+        gap: Duration::ZERO,
         pause: Duration::from_millis(3_200),
         is_replaced,
         idle_limit: Duration::from_millis(idle_ms),
@@ -305,6 +309,34 @@
     assert_eq!(reply.is_complete, !is_replaced);
 }
 
+/// Guards against the same cut where the upstream closes connections sooner than the host can tell that
+/// from its end: then the events that follow show it.
+#[rstest]
+#[case::it_lives_on(false)]
+#[case::another_process_follows(true)]
+#[tokio::test]
+async fn a_stream_with_regular_events_is_complete_unless_its_upstream_ended(
+    #[case] is_replaced: bool,
+) {
+    let body = upstream::events(0, 40);
+    let events = String::from_utf8(body.clone()).unwrap();
+    let text = format!("connection: close\r\n\r\n{events}");
+    let process = Process::start(Plan {
+        gap: Duration::from_millis(50),
+        pause: Duration::ZERO,
+        ..slow_end(text.leak(), 150, is_replaced)
+    });
+    let one = Upstream::listed_at("u1", process.address);
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let unlist = async {
+        process.arrival().await;
+        host.replace_upstreams(&[]).await;
+    };
+    let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), unlist);
+    assert_eq!(reply.body, body, "{}", reply.text());
+    assert_eq!(reply.is_complete, !is_replaced);
+}
+
 /// Guards against the same cut in a planned stop of the host, with the store up and silent.
 #[rstest]
 #[tokio::test]
