Believe the end of a response at an upstream that takes no more connections

Callers got all events of a stream without a length or chunks, and then a connection that closed without the last chunk, at an upstream at its limit of connections, listed or not (LOST).

Cause: such an upstream resets new connections, so neither a connection beside the response nor one after it is ever open. One that was accepted and ended at once was taken for the end of the process, whose listening socket may be the last that the system closes.

Change: it is tried up to three times, 50 ms apart. A process that ends refuses the later ones; where all are accepted, the upstream counts as alive as if the connection had stayed open, so the same decisions follow. The end of a response comes up to 100 ms later there, and nowhere else.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -38,6 +38,10 @@
 /// another, the listening one possibly last, and with it the connections that nobody accepted.
 pub const HOLD_TIME: Duration = Duration::from_millis(50);
 
+/// Number of new connections in a row that are accepted and end at once before the upstream counts as
+/// being at its limit of connections. A process that ends refuses the later ones.
+const MAX_PROBES: u32 = 3;
+
 /// Why the end of a response can't be believed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -110,8 +114,10 @@
 pub enum Probe {
     /// It stayed open.
     Held,
-    /// It was accepted and ended at once. An upstream at its limit of connections does so, too.
+    /// It was accepted and ended at once.
     Closed,
+    /// Several one after another were accepted and ended at once: the upstream has as many as it takes.
+    AtLimit,
     /// It was refused.
     Refused,
     /// There was no response.
@@ -156,13 +162,13 @@
             // A lost packet may hide from an idle connection that the process has ended.
             (Probe::Refused, _) if has_witness && self.is_leaving => Ok(()),
             (Probe::Refused, _) => Err(Doubt::Refused),
-            (Probe::Held | Probe::Closed, _) if has_witness => Ok(()),
+            (Probe::Held | Probe::Closed | Probe::AtLimit, _) if has_witness => Ok(()),
             (_, Some(Listing::Replaced)) => Err(Doubt::Replaced),
             (Probe::Closed, _) => Err(Doubt::Closed),
-            (Probe::Held, Some(Listing::Same)) => Ok(()),
-            (Probe::Held, Some(Listing::Missing)) if is_prompt => Ok(()),
-            (Probe::Held, Some(Listing::Missing)) => Err(Doubt::NotListed),
-            (Probe::Held, None) => Err(Doubt::Outdated),
+            (Probe::Held | Probe::AtLimit, Some(Listing::Same)) => Ok(()),
+            (Probe::Held | Probe::AtLimit, Some(Listing::Missing)) if is_prompt => Ok(()),
+            (Probe::Held | Probe::AtLimit, Some(Listing::Missing)) => Err(Doubt::NotListed),
+            (Probe::Held | Probe::AtLimit, None) => Err(Doubt::Outdated),
         }
     }
 }
@@ -219,31 +225,28 @@
         watch,
         is_own,
     } = *sender;
-    let upstream = &record.upstream;
     let end = Instant::now();
-    let connection = state.pool.acquire(upstream.address, true).await;
-    if is_own {
-        reach::record(state, upstream, connection.as_ref().map(|_| ()));
-    }
+    let status = || {
+        let witness = watch.witness.as_ref();
+        witness.map_or(witness::Status::Missing, |it| it.status(end))
+    };
     let is_leaving = is_own && is_leaving(state, record);
-    if connection.is_ok() || is_leaving {
-        tokio::time::sleep(HOLD_TIME).await;
-    }
-    let probe = match connection {
-        Ok(connection) if connection.is_open() => {
-            state.release_connection(connection, upstream.slots);
-            Probe::Held
+    let mut probe = connect(state, sender, is_leaving).await;
+    let mut probes = 1;
+    while probe == Probe::Closed && status() != witness::Status::Open {
+        if probes == MAX_PROBES {
+            probe = Probe::AtLimit;
+            break;
         }
-        Ok(_) => Probe::Closed,
-        Err(Fault::Connect(error)) if error.kind() == ErrorKind::TimedOut => Probe::Timeout,
-        Err(Fault::Connect(_) | Fault::Unsent | Fault::Broken(_)) => Probe::Refused,
-    };
-    let witness = watch.witness.as_ref();
-    let witness = witness.map_or(witness::Status::Missing, |it| it.status(end));
+        probe = connect(state, sender, is_leaving).await;
+        probes += 1;
+    }
+    let witness = status();
     let now = boot::Instant::now();
     let was_suspended = lock(&state.pulse).was_suspended(now, watch.sent);
     // The witness goes before the platform's list, and a refused connection needs neither.
-    let needs_listing = probe == Probe::Held && witness != witness::Status::Open;
+    let accepts = matches!(probe, Probe::Held | Probe::AtLimit);
+    let needs_listing = accepts && witness != witness::Status::Open;
     let listing = match is_own {
         true if was_suspended && needs_listing && !reader::confirm(state, now).await => None,
         true => Some(listing(state, record)),
@@ -258,6 +261,27 @@
     }
 }
 
+/// Opens a connection to an upstream, and returns what becomes of it.
+async fn connect(state: &State, sender: &Sender<'_>, is_leaving: bool) -> Probe {
+    let upstream = &sender.record.upstream;
+    let connection = state.pool.acquire(upstream.address, true).await;
+    if sender.is_own {
+        reach::record(state, upstream, connection.as_ref().map(|_| ()));
+    }
+    if connection.is_ok() || is_leaving {
+        tokio::time::sleep(HOLD_TIME).await;
+    }
+    match connection {
+        Ok(connection) if connection.is_open() => {
+            state.release_connection(connection, upstream.slots);
+            Probe::Held
+        }
+        Ok(_) => Probe::Closed,
+        Err(Fault::Connect(error)) if error.kind() == ErrorKind::TimedOut => Probe::Timeout,
+        Err(Fault::Connect(_) | Fault::Unsent | Fault::Broken(_)) => Probe::Refused,
+    }
+}
+
 /// Returns what the platform lists in place of an upstream. An entry of an earlier start comes from a
 /// copy of the store that was restored, and says nothing of the process.
 fn listing(state: &State, record: &Record) -> Listing {
--- a/tests/gateway_liveness.rs
+++ b/tests/gateway_liveness.rs
@@ -30,7 +30,7 @@
 /// A connection that was open before the end and is open after it is to the process that responded.
 #[rstest]
 fn an_open_witness_goes_before_what_the_platform_lists(
-    #[values(Probe::Held, Probe::Closed)] probe: Probe,
+    #[values(Probe::Held, Probe::Closed, Probe::AtLimit)] probe: Probe,
     #[values(SAME, REPLACED, MISSING, None)] listing: Option<Listing>,
     #[values(false, true)] was_suspended: bool,
 ) {
@@ -51,6 +51,8 @@
 #[case::address_used_again(Probe::Held, Status::Missing, REPLACED, Doubt::Replaced)]
 #[case::not_listed_and_ended(Probe::Held, Status::Closed, MISSING, Doubt::NotListed)]
 #[case::old_copy(Probe::Held, Status::Closed, None, Doubt::Outdated)]
+#[case::replaced_at_limit(Probe::AtLimit, Status::Missing, REPLACED, Doubt::Replaced)]
+#[case::ended_at_limit(Probe::AtLimit, Status::Closed, MISSING, Doubt::NotListed)]
 fn the_end_of_another_process_is_not_believed(
     #[case] probe: Probe,
     #[case] witness: Status,
@@ -76,6 +78,15 @@
     assert_eq!(evidence.judge(), expected);
 }
 
+/// Guards against sound ends that are doubted because the upstream takes no more connections (LOST).
+#[rstest]
+fn an_upstream_at_its_limit_of_connections_is_alive(
+    #[values(SAME, MISSING)] listing: Option<Listing>,
+) {
+    let evidence = evidence(Probe::AtLimit, Status::Missing, listing);
+    assert_eq!(evidence.judge(), Ok(()));
+}
+
 /// One that leaves may complete its last responses when it accepts no connections any more.
 #[test]
 fn a_leaving_upstream_that_refuses_connections_is_believed_by_its_witness() {
--- a/tests/gateway_path/process.rs
+++ b/tests/gateway_path/process.rs
@@ -14,9 +14,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use socket2::SockRef;
+
 /// Interval at which it looks for connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+/// What becomes of a process after its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It lives on.
+    Alive,
+    /// It ends, and with it all connections.
+    Gone,
+    /// It ends, and another one accepts connections at its address.
+    Replaced,
+}
+
 /// What a process does with the first request that it receives.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -28,11 +41,12 @@
     pub gap: Duration,
     /// Time until it closes the connection.
     pub pause: Duration,
-    /// Whether it ends then, and with it all connections, and another process accepts connections at
-    /// its address.
-    pub is_replaced: bool,
+    /// What becomes of it then.
+    pub ending: Ending,
     /// After which it closes each other connection.
     pub idle_limit: Duration,
+    /// Number of other connections that it takes. It resets those beyond.
+    pub max_others: usize,
 }
 
 /// A running process. Its thread ends when this is dropped.
@@ -103,9 +117,14 @@
                 let (has_arrived, has_ended) = (has_arrived.clone(), has_ended.clone());
                 first = Some(thread::spawn(move || {
                     respond(stream, plan, &has_arrived).unwrap();
-                    has_ended.store(plan.is_replaced, Ordering::Relaxed);
+                    has_ended.store(plan.ending != Ending::Alive, Ordering::Relaxed);
                 }));
             }
+            Ok((stream, _)) if others.len() >= plan.max_others => {
+                SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .unwrap();
+            }
             Ok((stream, _)) => {
                 others.push((stream, Instant::now()));
                 other_count.fetch_add(1, Ordering::Relaxed);
@@ -115,7 +134,10 @@
         }
     }
     drop((listener, others));
-    let _next = TcpListener::bind(address).unwrap();
+    let _next = match plan.ending {
+        Ending::Replaced => Some(TcpListener::bind(address).unwrap()),
+        Ending::Alive | Ending::Gone => None,
+    };
     while !is_over.load(Ordering::Relaxed) {
         thread::sleep(POLL_INTERVAL);
     }
--- a/tests/gateway_path/unlisted.rs
+++ b/tests/gateway_path/unlisted.rs
@@ -19,6 +19,7 @@
 use crate::host::Host;
 use crate::link::Path;
 use crate::outcome;
+use crate::process::Ending;
 use crate::process::Plan;
 use crate::process::Process;
 use crate::runs;
@@ -227,8 +228,9 @@
         text: THREE_EVENTS,
         gap: Duration::ZERO,
         pause: SUSPENSION / 2,
-        is_replaced: true,
+        ending: Ending::Replaced,
         idle_limit: TIMEOUT,
+        max_others: usize::MAX,
     };
     let reply = send_and_suspend(Kind::Stream, plan, listed).await;
     assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
@@ -246,8 +248,9 @@
         text: SEAT,
         gap: Duration::ZERO,
         pause: Duration::ZERO,
-        is_replaced: true,
+        ending: Ending::Replaced,
         idle_limit: TIMEOUT,
+        max_others: usize::MAX,
     };
     let reply = send_and_suspend(Kind::NonIdempotent, plan, listed).await;
     assert_eq!(reply.status, 502, "{}", reply.text());
@@ -262,8 +265,9 @@
         text: THREE_EVENTS,
         gap: Duration::ZERO,
         pause: SUSPENSION / 2,
-        is_replaced: false,
+        ending: Ending::Alive,
         idle_limit: TIMEOUT,
+        max_others: usize::MAX,
     };
     let reply = send_and_suspend(Kind::Stream, plan, Listed::Nothing).await;
     assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
@@ -277,14 +281,15 @@
 
 /// Returns a plan for a response that is sent at once and ends after some time, which is longer than
 /// the upstream keeps idle connections.
-fn slow_end(text: &'static str, idle_ms: u64, is_replaced: bool) -> Plan {
+fn slow_end(text: &'static str, idle_ms: u64, ending: Ending) -> Plan {
     Plan {
         delay: Duration::ZERO,
         text,
         gap: Duration::ZERO,
         pause: Duration::from_millis(3_200),
-        is_replaced,
+        ending,
         idle_limit: Duration::from_millis(idle_ms),
+        max_others: usize::MAX,
     }
 }
 
@@ -295,9 +300,9 @@
 async fn a_stream_of_an_upstream_that_closes_idle_connections_is_complete_unless_it_ended(
     #[values(400, 700, 1_000, 1_900, 2_500)] idle_ms: u64,
     #[values(THREE_EVENTS, THREE_EVENTS_AND_TIMEOUT)] text: &'static str,
-    #[values(false, true)] is_replaced: bool,
+    #[values(Ending::Alive, Ending::Replaced)] ending: Ending,
 ) {
-    let process = Process::start(slow_end(text, idle_ms, is_replaced));
+    let process = Process::start(slow_end(text, idle_ms, ending));
     let one = Upstream::listed_at("u1", process.address);
     let host = Host::start(Kind::Stream, &[&one]).await;
     let unlist = async {
@@ -306,17 +311,17 @@
     };
     let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), unlist);
     assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
-    assert_eq!(reply.is_complete, !is_replaced);
+    assert_eq!(reply.is_complete, ending == Ending::Alive);
 }
 
 /// Guards against the same cut where the upstream closes connections sooner than the host can tell that
 /// from its end: then the events that follow show it.
 #[rstest]
-#[case::it_lives_on(false)]
-#[case::another_process_follows(true)]
+#[case::it_lives_on(Ending::Alive)]
+#[case::another_process_follows(Ending::Replaced)]
 #[tokio::test]
 async fn a_stream_with_regular_events_is_complete_unless_its_upstream_ended(
-    #[case] is_replaced: bool,
+    #[case] ending: Ending,
 ) {
     let body = upstream::events(0, 40);
     let events = String::from_utf8(body.clone()).unwrap();
@@ -324,7 +329,7 @@
     let process = Process::start(Plan {
         gap: Duration::from_millis(50),
         pause: Duration::ZERO,
-        ..slow_end(text.leak(), 150, is_replaced)
+        ..slow_end(text.leak(), 150, ending)
     });
     let one = Upstream::listed_at("u1", process.address);
     let host = Host::start(Kind::Stream, &[&one]).await;
@@ -334,7 +339,36 @@
     };
     let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), unlist);
     assert_eq!(reply.body, body, "{}", reply.text());
-    assert_eq!(reply.is_complete, !is_replaced);
+    assert_eq!(reply.is_complete, ending == Ending::Alive);
+}
+
+/// Guards against complete responses that are cut at an upstream at its limit of connections, which
+/// resets new ones (LOST), and against cut ones that look complete (ORDER).
+#[rstest]
+#[case::alive(Ending::Alive)]
+#[case::gone(Ending::Gone)]
+#[tokio::test]
+async fn a_stream_of_an_upstream_that_resets_new_connections_is_complete_unless_it_ended(
+    #[case] ending: Ending,
+    #[values(0, 1)] max_others: usize,
+    #[values(false, true)] is_listed: bool,
+) {
+    let process = Process::start(Plan {
+        pause: Duration::from_millis(800),
+        max_others,
+        ..slow_end(THREE_EVENTS, 10_000, ending)
+    });
+    let one = Upstream::listed_at("u1", process.address);
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let unlist = async {
+        process.arrival().await;
+        if !is_listed {
+            host.replace_upstreams(&[]).await;
+        }
+    };
+    let (reply, ()) = tokio::join!(caller::send(host.caller, "a1", &[]), unlist);
+    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
+    assert_eq!(reply.is_complete, ending == Ending::Alive);
 }
 
 /// Guards against the same cut in a planned stop of the host, with the store up and silent.
@@ -343,7 +377,7 @@
 async fn a_stream_of_an_upstream_that_closes_idle_connections_is_complete_while_its_host_stops(
     #[values(false, true)] is_store_silent: bool,
 ) {
-    let process = Process::start(slow_end(THREE_EVENTS, 1_000, false));
+    let process = Process::start(slow_end(THREE_EVENTS, 1_000, Ending::Alive));
     let one = Upstream::listed_at("u1", process.address);
     let host = Host::start(Kind::Stream, &[&one]).await;
     let stop = async {
@@ -363,14 +397,14 @@
 /// Guards against a purchase that has succeeded and is answered as one whose outcome is unknown, as
 /// its upstream closes idle connections.
 #[rstest]
-#[case::it_lives_on(false, 200)]
-#[case::another_process_follows(true, 502)]
+#[case::it_lives_on(Ending::Alive, 200)]
+#[case::another_process_follows(Ending::Replaced, 502)]
 #[tokio::test]
 async fn a_plain_response_of_an_upstream_that_closes_idle_connections_is_returned_unless_it_ended(
-    #[case] is_replaced: bool,
+    #[case] ending: Ending,
     #[case] expected: u16,
 ) {
-    let process = Process::start(slow_end(SEAT, 1_000, is_replaced));
+    let process = Process::start(slow_end(SEAT, 1_000, ending));
     let one = Upstream::listed_at("u1", process.address);
     let host = Host::start(Kind::NonIdempotent, &[&one]).await;
     let unlist = async {
@@ -384,7 +418,7 @@
 /// Guards against the same where the response comes through another host.
 #[tokio::test]
 async fn a_stream_of_an_upstream_that_closes_idle_connections_through_another_host_is_complete() {
-    let process = Process::start(slow_end(THREE_EVENTS, 1_000, false));
+    let process = Process::start(slow_end(THREE_EVENTS, 1_000, Ending::Alive));
     let one = Upstream::listed_at("u1", process.address);
     let (fleet, links) = Host::start_linked_fleet(2, Kind::Stream, &[&one]).await;
     links[0].set(Path::Reset);
