Count only resets as signs of an upstream at its limit of connections

Cause: something between a host and an upstream, as the link of that test, accepts connections and closes them in order while the upstream is gone. Three in a row were taken for a sign of life.

Change: an upstream at its limit resets connections, and only resets count. A connection tells how the other end closed it.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -75,6 +77,12 @@
     Broken(#[source] hyper::Error),
 }
 
+/// How the other end closed a connection.
+#[derive(Clone, Copy, Debug)]
+struct Close {
+    is_reset: bool,
+}
+
 /// A connection that carries one request at a time and closes on drop.
 #[derive(Debug)]
 pub struct Connection {
@@ -82,6 +90,8 @@
     task: AbortHandle,
     /// Cancelled when the connection has ended.
     ended: CancellationToken,
+    /// How the other end closed the connection.
+    close: Arc<OnceLock<Close>>,
     address: SocketAddr,
     /// Limits what is read before the head of a response.
     budget: head_limit::Budget,
@@ -104,6 +114,11 @@
         !self.sender.is_closed()
     }
 
+    /// Returns whether the other end reset the connection.
+    pub fn was_reset(&self) -> bool {
+        self.close.get().is_some_and(|it| it.is_reset)
+    }
+
     /// Returns a token that is cancelled when the connection has ended.
     pub fn ended(&self) -> &CancellationToken {
         &self.ended
@@ -219,15 +234,19 @@
     let (sender, connection) = handshake.map_err(Fault::Broken)?;
     let ended = CancellationToken::new();
     let guard = ended.clone().drop_guard();
+    let close: Arc<OnceLock<Close>> = Arc::default();
+    let closed = close.clone();
     let task = tokio::spawn(async move {
         let _guard = guard;
         // The request in flight receives the error.
-        let _result = connection.await;
+        let is_reset = connection.await.is_err_and(|error| is_reset(&error));
+        let _first = closed.set(Close { is_reset });
     });
     Ok(Connection {
         sender,
         task: task.abort_handle(),
         ended,
+        close,
         address,
         budget,
         progress,
@@ -236,6 +255,13 @@
     })
 }
 
+/// Returns whether an error is that of a connection that the other end has reset.
+fn is_reset(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|it| it.downcast_ref::<io::Error>());
+    source.is_some_and(|it| it.kind() == io::ErrorKind::ConnectionReset)
+}
+
 /// Disables Nagle's algorithm and enables keep-alive probes and the user timeout, so
 /// that a failed network path is detected.
 pub fn set_tcp_options(stream: &TcpStream) -> io::Result<()> {
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -38,8 +38,8 @@
 /// another, the listening one possibly last, and with it the connections that nobody accepted.
 pub const HOLD_TIME: Duration = Duration::from_millis(50);
 
-/// Number of new connections in a row that are accepted and end at once before the upstream counts as
-/// being at its limit of connections. A process that ends refuses the later ones.
+/// Number of new connections in a row that are accepted and reset before the upstream counts as being
+/// at its limit of connections. A process that ends refuses the later ones.
 const MAX_PROBES: u32 = 3;
 
 /// Why the end of a response can't be believed.
@@ -114,9 +114,11 @@
 pub enum Probe {
     /// It stayed open.
     Held,
-    /// It was accepted and ended at once.
+    /// It was accepted and closed at once. Something between may do so whose upstream has ended.
     Closed,
-    /// Several one after another were accepted and ended at once: the upstream has as many as it takes.
+    /// It was accepted and reset at once.
+    Reset,
+    /// So were several one after another: the upstream has as many as it takes.
     AtLimit,
     /// It was refused.
     Refused,
@@ -162,9 +164,11 @@
             // A lost packet may hide from an idle connection that the process has ended.
             (Probe::Refused, _) if has_witness && self.is_leaving => Ok(()),
             (Probe::Refused, _) => Err(Doubt::Refused),
-            (Probe::Held | Probe::Closed | Probe::AtLimit, _) if has_witness => Ok(()),
+            (Probe::Held | Probe::Closed | Probe::Reset | Probe::AtLimit, _) if has_witness => {
+                Ok(())
+            }
             (_, Some(Listing::Replaced)) => Err(Doubt::Replaced),
-            (Probe::Closed, _) => Err(Doubt::Closed),
+            (Probe::Closed | Probe::Reset, _) => Err(Doubt::Closed),
             (Probe::Held | Probe::AtLimit, Some(Listing::Same)) => Ok(()),
             (Probe::Held | Probe::AtLimit, Some(Listing::Missing)) if is_prompt => Ok(()),
             (Probe::Held | Probe::AtLimit, Some(Listing::Missing)) => Err(Doubt::NotListed),
@@ -233,7 +237,7 @@
     let is_leaving = is_own && is_leaving(state, record);
     let mut probe = connect(state, sender, is_leaving).await;
     let mut probes = 1;
-    while probe == Probe::Closed && status() != witness::Status::Open {
+    while probe == Probe::Reset && status() != witness::Status::Open {
         if probes == MAX_PROBES {
             probe = Probe::AtLimit;
             break;
@@ -276,6 +280,7 @@
             state.release_connection(connection, upstream.slots);
             Probe::Held
         }
+        Ok(connection) if connection.was_reset() => Probe::Reset,
         Ok(_) => Probe::Closed,
         Err(Fault::Connect(error)) if error.kind() == ErrorKind::TimedOut => Probe::Timeout,
         Err(Fault::Connect(_) | Fault::Unsent | Fault::Broken(_)) => Probe::Refused,
--- a/tests/gateway_liveness.rs
+++ b/tests/gateway_liveness.rs
@@ -30,7 +30,7 @@
 /// A connection that was open before the end and is open after it is to the process that responded.
 #[rstest]
 fn an_open_witness_goes_before_what_the_platform_lists(
-    #[values(Probe::Held, Probe::Closed, Probe::AtLimit)] probe: Probe,
+    #[values(Probe::Held, Probe::Closed, Probe::Reset, Probe::AtLimit)] probe: Probe,
     #[values(SAME, REPLACED, MISSING, None)] listing: Option<Listing>,
     #[values(false, true)] was_suspended: bool,
 ) {
@@ -46,6 +46,7 @@
 #[case::ended(Probe::Refused, Status::Closed, SAME, Doubt::Refused)]
 #[case::ended_unseen(Probe::Refused, Status::Open, SAME, Doubt::Refused)]
 #[case::ending(Probe::Closed, Status::Missing, SAME, Doubt::Closed)]
+#[case::ending_with_a_reset(Probe::Reset, Status::Missing, SAME, Doubt::Closed)]
 #[case::unreachable(Probe::Timeout, Status::Open, SAME, Doubt::Timeout)]
 #[case::started_again(Probe::Held, Status::Closed, REPLACED, Doubt::Replaced)]
 #[case::address_used_again(Probe::Held, Status::Missing, REPLACED, Doubt::Replaced)]
