Send no request on a connection that its upstream is about to close

A repeatable request that was sent on a kept connection while the upstream closed it as idle was lost, spent a retry, and counted as a loss of the upstream and as a crash by the request. Callers waited for a second upstream, or got 502 where no retry was left. Purchases weren't concerned: they get a new connection each.

Cause: the pool kept connections for three seconds, whatever the upstream's timeout.

Change: idle connections are used for three quarters of the timeout that the last response stated in Keep-Alive, or of the one that was observed: two connections in a row that were closed in order at the same time after their last responses, within an eighth. Closes in the first 100 ms, resets and single ends count for nothing. What was observed is forgotten after ten minutes. An upstream that keeps connections for longer than four seconds is used as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 pub mod intake;
 pub mod job;
 pub mod join;
+pub mod keep_alive;
 pub mod limit;
 pub mod listen;
 pub mod liveness;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -25,17 +25,19 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
+use tracing::info;
 
 use crate::gateway::head_limit;
+use crate::gateway::keep_alive;
 use crate::gateway::upload;
 use crate::lock::lock;
+use crate::log::millis;
 
 /// Timeout for establishing a connection. TCP retransmits a lost SYN after one
 /// second, which is too late to wait for.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// How long an idle connection is kept. Upstreams close idle connections after a
-/// time-out of their own.
+/// How long an idle connection is kept, unless the upstream is known to close it sooner.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Maximum number of idle connections per upstream.
@@ -80,6 +82,7 @@
 /// How the other end closed a connection.
 #[derive(Clone, Copy, Debug)]
 struct Close {
+    at: Instant,
     is_reset: bool,
 }
 
@@ -100,6 +103,8 @@
     /// Whether it has carried a request before.
     pub is_reused: bool,
     idle_since: Instant,
+    /// Timeout for idle connections that the last response stated.
+    stated_timeout: Option<Duration>,
 }
 
 impl Drop for Connection {
@@ -114,6 +119,12 @@
         !self.sender.is_closed()
     }
 
+    /// Returns how long after its last response the other end closed the connection.
+    fn closed_after(&self) -> Option<Duration> {
+        let close = self.close.get().filter(|it| !it.is_reset)?;
+        close.at.checked_duration_since(self.idle_since)
+    }
+
     /// Returns whether the other end reset the connection.
     pub fn was_reset(&self) -> bool {
         self.close.get().is_some_and(|it| it.is_reset)
@@ -141,6 +152,9 @@
         self.progress.begin();
         let response = self.sender.try_send_request(request).await;
         self.budget.end_head();
+        if let Ok(response) = &response {
+            self.stated_timeout = keep_alive::stated(response.headers());
+        }
         response.map_err(|mut error| match error.take_message() {
             Some(_) => Fault::Unsent,
             None => Fault::Broken(error.into_error()),
@@ -148,10 +162,39 @@
     }
 }
 
+/// Idle connections, and what they show of the upstreams that close them.
+#[derive(Debug, Default)]
+struct Idle {
+    connections: BTreeMap<SocketAddr, Vec<Connection>>,
+    observations: BTreeMap<SocketAddr, keep_alive::Observation>,
+}
+
+impl Idle {
+    /// Removes the connections to an address that can't be used any more.
+    fn retain_usable(&mut self, now: Instant, address: SocketAddr) {
+        let Some(connections) = self.connections.get_mut(&address) else {
+            return;
+        };
+        for age in connections.iter().filter_map(Connection::closed_after) {
+            let observation = self.observations.entry(address).or_default();
+            if observation.record(now, age) {
+                let timeout_ms = observation.timeout().map(millis);
+                info!(%address, timeout_ms, "upstream: closes idle connections");
+            }
+        }
+        let observed = self.observations.get(&address);
+        let observed = observed.and_then(keep_alive::Observation::timeout);
+        connections.retain(|it| is_usable(now, it, observed));
+        if connections.is_empty() {
+            self.connections.remove(&address);
+        }
+    }
+}
+
 /// Idle connections by the upstream's address.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: Mutex<BTreeMap<SocketAddr, Vec<Connection>>>,
+    idle: Mutex<Idle>,
 }
 
 impl Pool {
@@ -173,7 +216,7 @@
         connection.idle_since = now;
         connection.is_reused = true;
         let mut idle = lock(&self.idle);
-        let connections = idle.entry(connection.address).or_default();
+        let connections = idle.connections.entry(connection.address).or_default();
         if connections.len() < limit {
             connections.push(connection);
         }
@@ -182,17 +225,17 @@
     /// Closes connections that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
         let mut idle = lock(&self.idle);
-        for connections in idle.values_mut() {
-            connections.retain(|it| is_usable(now, it));
+        let addresses: Vec<_> = idle.connections.keys().copied().collect();
+        for address in addresses {
+            idle.retain_usable(now, address);
         }
-        idle.retain(|_, connections| !connections.is_empty());
+        idle.observations.retain(|_, it| !it.is_outdated(now));
     }
 
     fn take_idle(&self, now: Instant, address: SocketAddr) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        let connections = idle.get_mut(&address)?;
-        connections.retain(|it| is_usable(now, it));
-        connections.pop()
+        idle.retain_usable(now, address);
+        idle.connections.get_mut(&address)?.pop()
     }
 }
 
@@ -208,8 +251,10 @@
     }
 }
 
-fn is_usable(now: Instant, connection: &Connection) -> bool {
-    now.duration_since(connection.idle_since) < IDLE_TIMEOUT && !connection.sender.is_closed()
+fn is_usable(now: Instant, connection: &Connection, observed: Option<Duration>) -> bool {
+    let usable = keep_alive::usable_time(connection.stated_timeout, observed);
+    let limit = usable.map_or(IDLE_TIMEOUT, |it| it.min(IDLE_TIMEOUT));
+    now.duration_since(connection.idle_since) < limit && !connection.sender.is_closed()
 }
 
 async fn connect(address: SocketAddr) -> Result<Connection, Fault> {
@@ -240,7 +285,8 @@
         let _guard = guard;
         // The request in flight receives the error.
         let is_reset = connection.await.is_err_and(|error| is_reset(&error));
-        let _first = closed.set(Close { is_reset });
+        let at = Instant::now();
+        let _first = closed.set(Close { at, is_reset });
     });
     Ok(Connection {
         sender,
@@ -252,6 +298,7 @@
         progress,
         is_reused: false,
         idle_since: Instant::now(),
+        stated_timeout: None,
     })
 }
 
--- a/tests/gateway_path/main.rs
+++ b/tests/gateway_path/main.rs
@@ -21,6 +21,7 @@
 #[path = "../truncation/events.rs"]
 mod events;
 mod host;
+mod idle;
 mod leaving;
 mod limits;
 mod link;
