Take a reset while a connection is set up for a reset, not a refusal

a_stream_of_an_upstream_that_resets_new_connections_is_complete_unless_it_ended failed once beside a build: a whole stream of an upstream at its limit of connections was cut (LOST).

Cause, by reading: the reset arrives before the host has set its options, so that opening the connection fails, which counted as refused. It depends on the order of two events within microseconds; no run shows it alone.

Change: a connection that fails with a reset was accepted, and counts like one that is reset after it. It is tried again after the same pause.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -79,6 +79,16 @@
     Broken(#[source] hyper::Error),
 }
 
+impl Fault {
+    /// Returns why no connection could be established.
+    pub fn connect_error(&self) -> Option<io::ErrorKind> {
+        match self {
+            Self::Connect(error) => Some(error.kind()),
+            Self::Unsent | Self::Broken(_) => None,
+        }
+    }
+}
+
 /// How the other end closed a connection.
 #[derive(Clone, Copy, Debug)]
 struct Close {
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -272,18 +272,22 @@
     if sender.is_own {
         reach::record(state, upstream, connection.as_ref().map(|_| ()));
     }
-    if connection.is_ok() || is_leaving {
+    let fault = connection.as_ref().err().and_then(Fault::connect_error);
+    // The reset may arrive before the connection is set up.
+    let is_accepted = connection.is_ok() || fault == Some(ErrorKind::ConnectionReset);
+    if is_accepted || is_leaving {
         tokio::time::sleep(HOLD_TIME).await;
     }
-    match connection {
-        Ok(connection) if connection.is_open() => {
+    match (connection, fault) {
+        (Ok(connection), _) if connection.is_open() => {
             state.release_connection(connection, upstream.slots);
             Probe::Held
         }
-        Ok(connection) if connection.was_reset() => Probe::Reset,
-        Ok(_) => Probe::Closed,
-        Err(Fault::Connect(error)) if error.kind() == ErrorKind::TimedOut => Probe::Timeout,
-        Err(Fault::Connect(_) | Fault::Unsent | Fault::Broken(_)) => Probe::Refused,
+        (Ok(connection), _) if connection.was_reset() => Probe::Reset,
+        (Ok(_), _) => Probe::Closed,
+        (Err(_), Some(ErrorKind::ConnectionReset)) => Probe::Reset,
+        (Err(_), Some(ErrorKind::TimedOut)) => Probe::Timeout,
+        (Err(_), _) => Probe::Refused,
     }
 }
 
