Open no connection beside responses once the last one has ended

Cause: a witness whose responses have ended closes its connections, and the task that replaces them took that for the end of the process: it opened one more before it looked whether a response needs it.

Change: it looks before. The chain of connections, what proves that a response belongs to it, and the times at which connections are opened are modules of their own.

--- a/src/gateway/witness.rs
+++ b/src/gateway/witness.rs
@@ -8,6 +8,9 @@
 //! Upstreams close idle connections, too. So there are two, opened at different times, and each that
 //! ends is followed by another while the other one is open: they form a chain to the same process.
 
+pub mod chain;
+pub mod schedule;
+
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,40 +24,20 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
-use tokio_util::sync::CancellationToken;
 use tracing::info;
 
 use crate::gateway::connection::Connection;
+use crate::gateway::connection::Fault;
 use crate::gateway::connection::Pool;
 use crate::gateway::liveness::HOLD_TIME;
 use crate::gateway::state::State;
+use crate::gateway::witness::chain::Chain;
+use crate::gateway::witness::chain::Link;
+use crate::gateway::witness::chain::Proof;
+use crate::gateway::witness::schedule::Schedule;
 use crate::lock::lock;
 use crate::log::millis;
 
-/// Number of connections in a chain, beside one that is about to be closed.
-const LINKS: usize = 2;
-
-/// Time between the first two connections of a chain. It is broken by an upstream that closes idle
-/// connections sooner than this and a [`HOLD_TIME`].
-const FIRST_STAGGER: Duration = Duration::from_millis(150);
-
-/// Minimum time between two connections of a chain.
-const MIN_STAGGER: Duration = Duration::from_millis(75);
-
-/// Time before a connection that failed is tried again, doubled with each further failure.
-const RETRY_TIME: Duration = Duration::from_millis(150);
-
-/// Maximum time before a connection that failed is tried again.
-const MAX_RETRY_TIME: Duration = Duration::from_secs(2);
-
-/// Time between two arrivals on the connection of a response that show that its process was alive
-/// after a chain began. What a network path held up arrives at once.
-const MIN_ARRIVAL_SPAN: Duration = Duration::from_millis(100);
-
-/// Time that the reader of a response waits for bytes that have just arrived. Others may have been
-/// buffered for long, as its caller reads slowly.
-const MIN_ARRIVAL_WAIT: Duration = Duration::from_millis(10);
-
 /// What a witness tells of the process that it is connected to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -68,92 +51,10 @@
     Closed,
 }
 
-/// A connection in a chain.
-#[derive(Clone, Debug)]
-pub struct Link {
-    /// When it was opened.
-    pub opened: Instant,
-    /// Cancelled when it has ended.
-    pub ended: CancellationToken,
-}
-
-/// Connections each of which was opened while the one before it was open, so that all are to the same
-/// process.
-#[derive(Debug, Default)]
-struct Chain {
-    /// Number of the chain. Another one begins when all connections of the one before have ended.
-    number: u64,
-    /// When its first connection was opened; `None` before the first chain.
-    since: Option<Instant>,
-    connections: Vec<(Instant, Connection)>,
-}
-
-impl Chain {
-    fn is_open(&self) -> bool {
-        let mut connections = self.connections.iter();
-        connections.any(|(_, connection)| connection.is_open())
-    }
-
-    /// Adds a connection that was opened a [`HOLD_TIME`] ago, and returns whether it is still open. It
-    /// is to the same process as one that is open by now: no other process gets an address that one
-    /// has.
-    fn extend(&mut self, opened: Instant, connection: Connection) -> bool {
-        self.connections.retain(|(_, it)| it.is_open());
-        if !connection.is_open() {
-            return false;
-        }
-        if self.connections.is_empty() {
-            self.number += 1;
-            self.since = Some(opened);
-        }
-        self.connections.push((opened, connection));
-        true
-    }
-
-    fn links(&self) -> Vec<Link> {
-        let connections = self.connections.iter();
-        let links = connections.map(|(opened, connection)| Link {
-            opened: *opened,
-            ended: connection.ended().clone(),
-        });
-        links.collect()
-    }
-}
-
 /// The connections to an upstream beside its responses, kept until the last response has ended.
 #[derive(Debug, Default)]
 pub struct Witness(Mutex<Chain>);
 
-/// Which chain is known to be connected to the process that sends a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Proof {
-    /// Number of the chain.
-    pub chain: u64,
-    /// A later chain, and when bytes of the response arrived first while it was open.
-    later: Option<(u64, Instant)>,
-}
-
-impl Proof {
-    /// Returns the proof of a response that begins while a chain with this number is open, or is
-    /// about to be.
-    pub fn new(chain: u64) -> Self {
-        Self { chain, later: None }
-    }
-
-    /// Records that bytes of the response arrived after a wait, while a chain was the latest.
-    pub fn record_arrival(&mut self, now: Instant, waited: Duration, latest: u64) {
-        match self.later {
-            _ if latest <= self.chain || waited < MIN_ARRIVAL_WAIT => {}
-            Some((chain, first)) if chain == latest => {
-                if now.duration_since(first) >= MIN_ARRIVAL_SPAN {
-                    *self = Self::new(latest);
-                }
-            }
-            Some(_) | None => self.later = Some((latest, now)),
-        }
-    }
-}
-
 /// A response's share of a witness.
 #[derive(Clone, Debug)]
 pub struct Share {
@@ -247,42 +148,54 @@
 impl Keeper {
     async fn run(&mut self, pool: &Pool) {
         loop {
-            loop {
-                let due = self.schedule.due(Instant::now(), &self.links);
-                let wait = async {
-                    match due {
-                        Some(due) => sleep_until(due).await,
-                        None => std::future::pending().await,
-                    }
-                };
-                if self.watch_during(wait).await.is_some() {
-                    break;
-                }
+            self.wait_until_due().await;
+            if self.witness.strong_count() == 0 {
+                return;
             }
-            let address = self.address;
-            let mut opening = std::pin::pin!(async {
-                let connection = pool.acquire(address, true).await;
-                let opened = Instant::now();
-                sleep(HOLD_TIME).await;
-                (opened, connection)
-            });
-            let (opened, connection) = loop {
-                if let Some(result) = self.watch_during(opening.as_mut()).await {
-                    break result;
-                }
-            };
+            let (opened, connection) = self.open(pool).await;
             let Some(witness) = self.witness.upgrade() else {
                 return;
             };
             let mut chain = lock(&witness.0);
             let opening = connection.map(|it| chain.extend(opened, it));
             self.links = chain.links();
-            if self
-                .schedule
-                .record_opening(Instant::now(), matches!(opening, Ok(true)))
-            {
+            let is_open = matches!(opening, Ok(true));
+            if self.schedule.record_opening(Instant::now(), is_open) {
                 let fault = opening.err().map(tracing::field::display);
-                info!(%address, fault, "upstream: can't open a connection beside a response");
+                info!(address = %self.address, fault,
+                    "upstream: can't open a connection beside a response");
+            }
+        }
+    }
+
+    /// Waits until a connection is to be opened.
+    async fn wait_until_due(&mut self) {
+        loop {
+            let due = self.schedule.due(Instant::now(), &self.links);
+            let wait = async {
+                match due {
+                    Some(due) => sleep_until(due).await,
+                    None => std::future::pending().await,
+                }
+            };
+            if self.watch_during(wait).await.is_some() {
+                return;
+            }
+        }
+    }
+
+    /// Opens a connection, and returns it after the [`HOLD_TIME`] with the time when it was opened.
+    async fn open(&mut self, pool: &Pool) -> (Instant, Result<Connection, Fault>) {
+        let address = self.address;
+        let mut opening = std::pin::pin!(async {
+            let connection = pool.acquire(address, true).await;
+            let opened = Instant::now();
+            sleep(HOLD_TIME).await;
+            (opened, connection)
+        });
+        loop {
+            if let Some(opened) = self.watch_during(opening.as_mut()).await {
+                return opened;
             }
         }
     }
@@ -306,49 +219,3 @@
         None
     }
 }
-
-/// When the connections of a witness are opened.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Schedule {
-    /// How long the connection lived that ended last.
-    lifetime: Option<Duration>,
-    /// Number of connections in a row that couldn't be opened.
-    failures: u32,
-    /// When the next one may be opened after a failure.
-    retry_at: Option<Instant>,
-}
-
-impl Schedule {
-    /// Records whether a connection could be opened, and returns whether this one is the first that
-    /// couldn't.
-    pub fn record_opening(&mut self, now: Instant, is_open: bool) -> bool {
-        if is_open {
-            (self.failures, self.retry_at) = (0, None);
-            return false;
-        }
-        let pause = RETRY_TIME.saturating_mul(2u32.saturating_pow(self.failures));
-        self.retry_at = Some(now + pause.min(MAX_RETRY_TIME));
-        self.failures = self.failures.saturating_add(1);
-        self.failures == 1
-    }
-
-    /// Records that a connection has ended at an age.
-    pub fn record_end(&mut self, age: Duration) {
-        self.lifetime = Some(age);
-    }
-
-    /// Returns when the next connection is due beside open ones; `None` while there are enough. The
-    /// times at which an upstream closes two of them as idle are kept apart by half of their lifetime.
-    pub fn due(&self, now: Instant, open: &[Link]) -> Option<Instant> {
-        let stagger = self
-            .lifetime
-            .map_or(FIRST_STAGGER, |it| (it / 2).max(MIN_STAGGER));
-        let youngest = open.iter().map(|link| link.opened).max();
-        let due = match youngest {
-            None => now,
-            Some(_) if open.len() >= LINKS => return None,
-            Some(opened) => opened + stagger,
-        };
-        Some(self.retry_at.map_or(due, |at| at.max(due)))
-    }
-}
--- a/tests/gateway_path/process.rs
+++ b/tests/gateway_path/process.rs
@@ -81,9 +81,14 @@
         process
     }
 
+    /// Returns how many connections beside that of the request it has accepted.
+    pub fn others(&self) -> usize {
+        self.others.load(Ordering::Relaxed)
+    }
+
     /// Waits until a connection beside that of the request was opened.
     pub async fn other_connection(&self) {
-        while self.others.load(Ordering::Relaxed) == 0 {
+        while self.others() == 0 {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
--- a/tests/gateway_path/unlisted.rs
+++ b/tests/gateway_path/unlisted.rs
@@ -458,3 +458,21 @@
     assert!((9..=10).contains(&most), "{most}");
     assert!(lock(&host.state.witnesses).is_empty());
 }
+
+/// Guards against connections that are opened to show whether an upstream is alive when no response
+/// needs them any more.
+#[tokio::test]
+async fn no_connection_is_opened_beside_responses_that_have_ended() {
+    let process = Process::start(Plan {
+        pause: Duration::from_millis(300),
+        ..slow_end(THREE_EVENTS, 10_000, Ending::Alive)
+    });
+    let one = Upstream::listed_at("u1", process.address);
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    let reply = caller::send(host.caller, "a1", &[]).await;
+    assert!(reply.is_complete);
+    // Two while the response lasted, and one after it.
+    assert_eq!(process.others(), 3);
+    tokio::time::sleep(SUSPENSION).await;
+    assert_eq!(process.others(), 3);
+}
--- a/tests/gateway_witness.rs
+++ b/tests/gateway_witness.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
-use masticmoor::gateway::witness::Link;
-use masticmoor::gateway::witness::Proof;
-use masticmoor::gateway::witness::Schedule;
+use masticmoor::gateway::witness::chain::Link;
+use masticmoor::gateway::witness::chain::Proof;
+use masticmoor::gateway::witness::schedule::Schedule;
 use rstest::rstest;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
