--- a/tests/gateway_path/process.rs
+++ b/tests/gateway_path/process.rs
@@ -14,7 +14,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use socket2::Domain;
 use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
 
 /// Interval at which it looks for connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -143,6 +146,13 @@
         Ending::Replaced => Some(TcpListener::bind(address).unwrap()),
         Ending::Alive | Ending::Gone => None,
     };
+    // Refuses connections, and keeps the port from processes of other tests.
+    let _reserved = (plan.ending == Ending::Gone).then(|| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_reuse_address(true).unwrap();
+        socket.bind(&address.into()).unwrap();
+        socket
+    });
     while !is_over.load(Ordering::Relaxed) {
         thread::sleep(POLL_INTERVAL);
     }
