--- a/src/gateway/witness/chain.rs
+++ b/src/gateway/witness/chain.rs
@@ -42,9 +42,11 @@
         connections.any(|(_, connection)| connection.is_open())
     }
 
-    /// Adds a connection that was opened a [`HOLD_TIME`](crate::gateway::liveness::HOLD_TIME) ago, and returns whether it is still open. It
+    /// Adds a connection that was opened a [`HOLD_TIME`] ago, and returns whether it is still open. It
     /// is to the same process as one that is open by now: no other process gets an address that one
     /// has.
+    ///
+    /// [`HOLD_TIME`]: crate::gateway::liveness::HOLD_TIME
     pub fn extend(&mut self, opened: Instant, connection: Connection) -> bool {
         self.connections.retain(|(_, it)| it.is_open());
         if !connection.is_open() {
--- a/src/gateway/witness/schedule.rs
+++ b/src/gateway/witness/schedule.rs
@@ -10,7 +10,9 @@
 const LINKS: usize = 2;
 
 /// Time between the first two connections of a chain. It breaks if the upstream closes idle connections
-/// sooner than this and a [`HOLD_TIME`](crate::gateway::liveness::HOLD_TIME).
+/// sooner than this and a [`HOLD_TIME`].
+///
+/// [`HOLD_TIME`]: crate::gateway::liveness::HOLD_TIME
 const FIRST_STAGGER: Duration = Duration::from_millis(150);
 
 /// Minimum time between two connections of a chain.
