--- a/tests/gateway_path/unlisted.rs
+++ b/tests/gateway_path/unlisted.rs
@@ -64,16 +64,15 @@
     assert_eq!(runs(&[&one]), 1);
 }
 
-/// Guards against the same cut while the host is stopped, or can't reach the store.
-#[rstest]
-#[tokio::test]
-async fn a_stream_of_an_unlisted_upstream_is_complete_while_its_host_stops(
-    #[values(false, true)] is_store_silent: bool,
+/// Sends a stream whose upstream loses its entry once the request has arrived, while the host is stopped,
+/// and checks that it is complete.
+async fn check_complete_in_a_stop(
+    host: &Host,
+    is_store_silent: bool,
+    arrival: impl Future<Output = ()>,
 ) {
-    let one = Upstream::start("u1", |_| Step::CloseLate(THREE_EVENTS)).await;
-    let host = Host::start(Kind::Stream, &[&one]).await;
     let stop = async {
-        first_arrival(&[&one]).await;
+        arrival.await;
         host.replace_upstreams(&[]).await;
         if is_store_silent {
             host.silence_store();
@@ -86,6 +85,17 @@
     assert_eq!(cut, 0);
 }
 
+/// Guards against the same cut while the host is stopped, or can't reach the store.
+#[rstest]
+#[tokio::test]
+async fn a_stream_of_an_unlisted_upstream_is_complete_while_its_host_stops(
+    #[values(false, true)] is_store_silent: bool,
+) {
+    let one = Upstream::start("u1", |_| Step::CloseLate(THREE_EVENTS)).await;
+    let host = Host::start(Kind::Stream, &[&one]).await;
+    check_complete_in_a_stop(&host, is_store_silent, first_arrival(&[&one])).await;
+}
+
 /// Guards against a purchase that has succeeded and is answered as one whose outcome is unknown.
 #[rstest]
 #[case::body_before_the_end(Step::CloseLate(SEAT))]
@@ -380,18 +390,7 @@
     let process = Process::start(slow_end(THREE_EVENTS, 1_000, Ending::Alive));
     let one = Upstream::listed_at("u1", process.address);
     let host = Host::start(Kind::Stream, &[&one]).await;
-    let stop = async {
-        process.arrival().await;
-        host.replace_upstreams(&[]).await;
-        if is_store_silent {
-            host.silence_store();
-        }
-        host.drain().await
-    };
-    let (reply, cut) = tokio::join!(caller::send(host.caller, "a1", &[]), stop);
-    assert_eq!(reply.body, upstream::events(0, 3), "{}", reply.text());
-    assert!(reply.is_complete);
-    assert_eq!(cut, 0);
+    check_complete_in_a_stop(&host, is_store_silent, process.arrival()).await;
 }
 
 /// Guards against a purchase that has succeeded and is answered as one whose outcome is unknown, as
