End the stand-in's listener before its response, not after it

The thread that closes the listener of a stand-in that ends learned of the end only after the response had ended.

Change: listener, response and the other connections end in this order, as one after another as before.

--- a/tests/gateway_path/process.rs
+++ b/tests/gateway_path/process.rs
@@ -124,8 +124,9 @@
             Ok((stream, _)) if first.is_none() => {
                 let (has_arrived, has_ended) = (has_arrived.clone(), has_ended.clone());
                 first = Some(thread::spawn(move || {
-                    respond(stream, plan, &has_arrived).unwrap();
+                    let stream = respond(stream, plan, &has_arrived).unwrap();
                     has_ended.store(plan.ending != Ending::Alive, Ordering::Relaxed);
+                    (plan.ending != Ending::Alive).then_some(stream)
                 }));
             }
             Ok((stream, _)) if others.len() >= plan.max_others => {
@@ -141,7 +142,7 @@
             Err(error) => panic!("{error}"),
         }
     }
-    drop((listener, others));
+    drop(listener);
     let _next = match plan.ending {
         Ending::Replaced => Some(TcpListener::bind(address).unwrap()),
         Ending::Alive | Ending::Gone => None,
@@ -153,12 +154,18 @@
         socket.bind(&address.into()).unwrap();
         socket
     });
+    // The connections end one after another, once nothing accepts others for the process.
+    if has_ended.load(Ordering::Relaxed) {
+        drop(first.map(thread::JoinHandle::join));
+    }
+    drop(others);
     while !is_over.load(Ordering::Relaxed) {
         thread::sleep(POLL_INTERVAL);
     }
 }
 
-fn respond(mut stream: TcpStream, plan: Plan, has_arrived: &AtomicBool) -> io::Result<()> {
+/// Responds to the request, and returns the connection, which is still open.
+fn respond(mut stream: TcpStream, plan: Plan, has_arrived: &AtomicBool) -> io::Result<TcpStream> {
     let mut buffer = [0; 4_096];
     let mut request = String::new();
     while !request.ends_with(crate::caller::BODY) {
@@ -180,5 +187,5 @@
         thread::sleep(plan.gap);
     }
     thread::sleep(plan.pause);
-    Ok(())
+    Ok(stream)
 }
